--- /dev/null
+++ b/src/berth/berth.cc
@@ -0,0 +1,280 @@
+// The proxy's process: joins the engine to sockets, to the tender's feed, and to the ready probe.
+#include <csignal>
+
+#include "berth/engine.h"
+#include "keel/constants.h"
+#include "keel/http.h"
+#include "keel/line_conn.h"
+#include "keel/log.h"
+#include "keel/loop.h"
+#include "keel/registry.h"
+
+namespace pebblespindle {
+namespace {
+
+using namespace constants;
+using berth::ConnId;
+using berth::SessionId;
+
+class Berth : public berth::Port {
+ public:
+  explicit Berth(Settings s)
+      : settings_(std::move(s)), engine_(*this, loop_.timers(), settings_.zone, settings_.drain_ms) {}
+
+  int run() {
+    auto front = settings_.listeners.find("Frontend");
+    auto ready = settings_.listeners.find("Readiness");
+    if (front == settings_.listeners.end() || ready == settings_.listeners.end()) {
+      log_.say("The settings name no Frontend or no Readiness listener.");
+      return 1;
+    }
+    auto http = HttpServer::listen(loop_.io(), ready->second, [this](HttpRequest r, HttpDone done) {
+      if (r.path != "/readiness") return done({404, "", {}});
+      done({engine_.ready() ? 200 : 503, "", {}});
+    });
+    if (!http) return refuse(http.reason);
+    ready_ = std::move(*http.value);
+    auto clients = Acceptor::listen(loop_.io(), front->second,
+                                    [this](asio::ip::tcp::socket s) { accept_client(std::move(s)); });
+    if (!clients) return refuse(clients.reason);
+    front_ = std::move(*clients.value);
+    loop_.on_signal(SIGTERM, [this] { leave(); });
+    loop_.on_signal(SIGHUP, [this] {
+      auto s = load_settings(settings_path());
+      log_.say(s ? "Settings read again." : "Settings not taken: " + s.reason);
+    });
+    log_.say("Berth " + settings_.node_name + " serves at " + front->second.text() + ".");
+    loop_.every(kNodeRenewMs, [this] { renew(); });
+    connect_feed();
+    loop_.run();
+    return 0;
+  }
+
+  // berth::Port
+  void to_client(SessionId id, std::string bytes) override {
+    auto it = clients_.find(id);
+    if (it != clients_.end()) it->second->send(bytes);
+  }
+  void end_client(SessionId id) override {
+    auto it = clients_.find(id);
+    if (it == clients_.end()) return;
+    it->second->close_after_flush();
+    clients_.erase(it);
+  }
+  void open_server(ConnId id, const Endpoint& at) override {
+    LineConn::connect(loop_.io(), at, kServerConnectMs, kMaxMessageBytes,
+                      [this, id](LineConn::Ptr conn, const asio::error_code& ec) {
+                        touch();
+                        opening_.erase(id);
+                        bool abandoned = abandoned_.erase(id) > 0;
+                        if (!conn) {
+                          engine_.server_down(id, ec == asio::error::connection_refused ||
+                                                      ec == asio::error::connection_reset, false);
+                        } else if (abandoned) {
+                          conn->close();
+                        } else {
+                          start_server(id, conn);
+                        }
+                        loop_.rearm();
+                      });
+    opening_.insert(id);
+  }
+  void to_server(ConnId id, std::string bytes) override {
+    auto it = servers_.find(id);
+    if (it != servers_.end()) it->second->send(bytes);
+  }
+  void close_server(ConnId id, bool orderly) override {
+    auto it = servers_.find(id);
+    if (it == servers_.end()) {
+      if (opening_.count(id)) abandoned_.insert(id);
+      return;
+    }
+    if (orderly) {
+      it->second->send("CLOSE\r\n");
+      it->second->close_after_flush();
+    } else {
+      it->second->close();
+    }
+    servers_.erase(it);
+  }
+  void suspect(const InstanceId& id, bool refused) override {
+    Millis now = loop_.now();
+    auto& last = suspected_[id];
+    if (last != 0 && now - last < kReconnectMs) return;
+    last = now;
+    log_.say("Database " + id.value + (refused ? " refuses connections." : " gives no answers."));
+    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"r", refused}}.dump() + "\n");
+  }
+
+ private:
+  int refuse(const std::string& why) {
+    log_.say(why);
+    return 1;
+  }
+  void touch() { engine_.set_time(loop_.now()); }
+
+  void accept_client(asio::ip::tcp::socket socket) {
+    touch();
+    set_silence_limit(socket, kServerConnectMs * 10);
+    SessionId id = ++last_session_;
+    auto conn = std::make_shared<LineConn>(std::move(socket), kMaxMessageBytes);
+    clients_[id] = conn;
+    engine_.client_open(id);
+    conn->start({[this, id](std::string_view line) {
+                   touch();
+                   engine_.client_line(id, line);
+                 },
+                 [this, id](LineConn::End end) {
+                   touch();
+                   if (end == LineConn::End::kTooLong) engine_.client_too_long(id);
+                   clients_.erase(id);
+                   engine_.client_closed(id);
+                   loop_.rearm();
+                 },
+                 [this] { loop_.rearm(); }});
+  }
+
+  void start_server(ConnId id, const LineConn::Ptr& conn) {
+    servers_[id] = conn;
+    conn->start({[this, id](std::string_view line) {
+                   touch();
+                   engine_.server_line(id, line);
+                 },
+                 [this, id](LineConn::End) {
+                   touch();
+                   servers_.erase(id);
+                   engine_.server_down(id, false, false);
+                   loop_.rearm();
+                 },
+                 [this] { loop_.rearm(); }});
+    engine_.server_up(id);
+  }
+
+  void connect_feed() {
+    LineConn::connect(loop_.io(), settings_.feed(), kServerConnectMs, kMaxLinkBytes,
+                      [this](LineConn::Ptr conn, const asio::error_code&) {
+                        if (!conn) return retry_feed();
+                        feed_ = conn;
+                        conn->start({[this](std::string_view line) { on_feed(line); },
+                                     [this](LineConn::End) {
+                                       feed_ = nullptr;
+                                       retry_feed();
+                                     },
+                                     [this] { loop_.rearm(); }});
+                        renew();
+                      });
+  }
+
+  void retry_feed() {
+    loop_.timers().at(loop_.now() + kReconnectMs, [this] { connect_feed(); });
+    loop_.rearm();
+  }
+
+  void renew() {
+    touch();
+    if (!feed_) return;
+    told_ = engine_.acknowledged();
+    feed_->send(Json{{"t", "renew"}, {"at", loop_.now()}, {"ack", told_}}.dump() + "\n");
+    // An acknowledgement that waits for running work follows as soon as that is over.
+    if (told_ < engine_.chart().number() && !watching_) watch();
+  }
+
+  void watch() {
+    watching_ = true;
+    loop_.timers().at(loop_.now() + kReconnectMs / 5, [this] {
+      watching_ = false;
+      touch();
+      if (engine_.acknowledged() > told_)
+        renew();
+      else if (told_ < engine_.chart().number())
+        watch();
+    });
+    loop_.rearm();
+  }
+
+  void on_feed(std::string_view line) {
+    touch();
+    Json m = Json::parse(line, nullptr, false);
+    if (!m.is_object()) return;
+    const std::string t = m.value("t", "");
+    if (t == "up") {
+      auto rows = rows_from_json(m["r"]);
+      if (!rows) return;
+      bool was = engine_.ready();
+      engine_.feed(m.value("k", std::uint64_t(0)), *rows.value);
+      if (!was && engine_.ready()) log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
+      renew();
+    } else if (t == "grant") {
+      engine_.lease(m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs,
+                    m.value("k", std::uint64_t(0)), m.value("n", std::size_t(1)));
+    }
+  }
+
+  // Unready at once; serves until the platform has surely noticed; then ends what rests, and at half
+  // of the grace period what is still open.
+  void leave() {
+    touch();
+    if (engine_.leaving()) return;
+    log_.say("Asked to end: unready from now on.");
+    engine_.leave();
+    Millis half = settings_.grace_ms / 2, notice = std::min(kUnreadyNoticeMs, half * 3 / 4);
+    auto& timers = loop_.timers();
+    timers.at(loop_.now() + notice, [this] {
+      touch();
+      engine_.close_idle();
+      front_->close();
+      end_if_empty();
+    });
+    timers.at(loop_.now() + half, [this] {
+      touch();
+      engine_.abort_open();
+      end_if_empty();
+    });
+    timers.at(loop_.now() + settings_.grace_ms - kReconnectMs * 2, [this] { loop_.stop(); });
+    loop_.rearm();
+  }
+
+  void end_if_empty() {
+    if (engine_.sessions() == 0) {
+      // One more turn of the loop lets the last answers out.
+      loop_.timers().at(loop_.now() + kReconnectMs / 5, [this] {
+        log_.say("All sessions have ended.");
+        loop_.stop();
+      });
+    } else {
+      loop_.timers().at(loop_.now() + kReconnectMs / 2, [this] { end_if_empty(); });
+    }
+    loop_.rearm();
+  }
+
+  Log log_{"berth"};
+  Settings settings_;
+  Loop loop_;
+  berth::Engine engine_;
+  std::unique_ptr<HttpServer> ready_;
+  std::unique_ptr<Acceptor> front_;
+  std::unordered_map<SessionId, LineConn::Ptr> clients_;
+  std::unordered_map<ConnId, LineConn::Ptr> servers_;
+  std::set<ConnId> opening_, abandoned_;
+  std::map<InstanceId, Millis> suspected_;
+  SessionId last_session_ = 0;
+  LineConn::Ptr feed_;
+  std::uint64_t told_ = 0;
+  bool watching_ = false;
+};
+
+int run_berth(const std::string&) {
+  Log log("berth");
+  auto settings = load_settings(settings_path());
+  if (!settings) {
+    log.say("Settings not taken: " + settings.reason + ".");
+    return 1;
+  }
+  Berth b(std::move(*settings.value));
+  return b.run();
+}
+
+RegisterCommand berth_command("berth", {"serves client sessions on an edge machine", "", run_berth});
+
+}  // namespace
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/berth/engine.cc
@@ -0,0 +1,270 @@
+// Sessions: what clients say, and what they are told.
+#include "berth/engine.h"
+
+#include <algorithm>
+
+namespace pebblespindle::berth {
+using namespace constants;
+using wire::Verb;
+
+Engine::Session* Engine::find(SessionId id) {
+  auto it = sessions_.find(id);
+  return it == sessions_.end() ? nullptr : &it->second;
+}
+
+Engine::Server* Engine::server(ConnId id) {
+  auto it = servers_.find(id);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+void Engine::client_open(SessionId id) { sessions_[id].id = id; }
+
+void Engine::client_line(SessionId id, std::string_view line) {
+  Session* s = find(id);
+  if (!s || s->closing) return;
+  if (!s->greeted) {
+    auto rest = line;
+    if (wire::take(rest) != "CONNECT") {
+      port_.to_client(id, wire::error("MALFORMED", "CONNECT comes first"));
+      return drop(id);
+    }
+    s->host = std::string(wire::take(rest));
+    if (sessions_.size() > std::size_t(kMaxSessions)) {
+      port_.to_client(id, wire::error("CONNLIMIT", "too many sessions here"));
+      return drop(id);
+    }
+    if (!chart_.route(s->host)) {
+      port_.to_client(id, wire::error("NODATABASE", s->host));
+      return drop(id);
+    }
+    s->greeted = true;
+    port_.to_client(id, wire::idle('I', "-"));
+    return;
+  }
+  s->lines.emplace_back(line);
+  pump(*s);
+}
+
+void Engine::client_too_long(SessionId id) {
+  if (!find(id)) return;
+  port_.to_client(id, wire::error("TOOLARGE", "a message holds at most 1 MiB"));
+  drop(id);
+}
+
+void Engine::client_closed(SessionId id) {
+  Session* s = find(id);
+  if (s) drop(id);
+}
+
+// Ends a session from this side or after its client has gone. Whatever runs for it ends at the database first.
+void Engine::drop(SessionId id) {
+  Session* s = find(id);
+  if (!s) return;
+  end_work(*s);
+  timers_.cancel(s->rest);
+  ConnId conn = s->conn;
+  sessions_.erase(id);
+  port_.end_client(id);
+  if (Server* c = server(conn)) {
+    c->session = 0;
+    if (c->stage == Server::Stage::kIdle) {
+      if (c->in_tx)
+        next_step(*c);
+      else
+        give_back(*c);
+    } else {
+      c->script.clear();
+    }
+  }
+}
+
+void Engine::pump(Session& session) {
+  SessionId id = session.id;
+  for (;;) {
+    Session* s = find(id);
+    if (!s || s->busy || s->closing || s->lines.empty()) {
+      if (s && !s->busy && s->lines.empty() && closing_idle_ && s->state == 'I') drop(id);
+      return;
+    }
+    std::string line = std::move(s->lines.front());
+    s->lines.pop_front();
+    handle(*s, line);
+  }
+}
+
+void Engine::handle(Session& s, std::string_view line) {
+  auto word = wire::take(line);
+  if (word == "CLOSE") return drop(s.id);
+  if (word != "QUERY") return fail(s, "MALFORMED", "not a message of a session");
+  auto id = wire::take(line);
+  auto st = wire::parse_statement(line);
+  if (id.empty() || st.verb == Verb::kBad) return fail(s, "MALFORMED", "not a statement");
+  if (s.state == 'E') {
+    if (st.verb == Verb::kRollback) {
+      end_transaction(s, 'I');
+      return answer(s, "COMPLETE -\r\n");
+    }
+    if (st.verb == Verb::kCommit) {
+      end_transaction(s, 'I');
+      return answer(s, wire::error("ABORTED", "the transaction had failed and is rolled back"));
+    }
+    return fail(s, "MALFORMED", "the transaction has failed; end it first");
+  }
+  switch (st.verb) {
+    case Verb::kBegin: {
+      if (s.state == 'T') return fail(s, "MALFORMED", "a transaction is open");
+      s.route = chart_.route(s.host);
+      if (!s.route) return fail(s, "NODATABASE", s.host);
+      s.state = 'T';
+      s.tx_read_only = st.read_only;
+      s.tx_touched = s.tx_wrote = s.tx_lost = false;
+      return answer(s, "COMPLETE -\r\n");  // a database sees it with the first statement
+    }
+    case Verb::kRollback:
+      if (s.state != 'T') return fail(s, "MALFORMED", "no transaction is open");
+      end_transaction(s, 'I');
+      return answer(s, "COMPLETE -\r\n");
+    case Verb::kCommit:
+      if (s.state != 'T') return fail(s, "MALFORMED", "no transaction is open");
+      return begin_work(s, id, line, st);
+    case Verb::kConfigure:
+    case Verb::kPrepare:
+    case Verb::kRelease:
+      return local_statement(s, st);
+    default:
+      return begin_work(s, id, line, st);
+  }
+}
+
+void Engine::local_statement(Session& s, const wire::Statement& st) {
+  std::string name(st.name);
+  bool room = s.values.size() + s.prepared.size() < kMaxSessionValues;
+  if (st.verb == Verb::kConfigure) {
+    if (!room && !s.values.count(name)) return fail(s, "MALFORMED", "too many values in one session");
+    s.values[name] = std::string(st.rest);
+  } else if (st.verb == Verb::kPrepare) {
+    if (!room && !s.prepared.count(name)) return fail(s, "MALFORMED", "too many prepared names in one session");
+    s.prepared[name] = {st.read_only, std::string(st.rest)};
+  } else {
+    if (s.prepared.erase(name) == 0) return fail(s, "NOTFOUND", name);
+  }
+  answer(s, "COMPLETE -\r\n");
+}
+
+void Engine::answer(Session& s, std::string body) {
+  body += wire::idle(s.state, "-");
+  timers_.cancel(s.rest);
+  if (s.state != 'I') {
+    s.rest = timers_.at(now_ + chart_.config().transaction_idle_ms, [this, id = s.id] {
+      if (Session* x = find(id)) {
+        x->rest = 0;
+        lose_transaction(*x);
+      }
+    });
+  }
+  port_.to_client(s.id, std::move(body));
+}
+
+void Engine::fail(Session& s, std::string_view code, std::string_view text) {
+  if (s.state == 'T') {
+    // A failed statement fails its transaction; the database's side of it is rolled back at once.
+    end_transaction(s, 'E');
+  }
+  answer(s, wire::error(code, text));
+}
+
+// The transaction is over here; what is left of it at a database is rolled back.
+void Engine::end_transaction(Session& s, char state) {
+  s.state = state;
+  if (state == 'I') s.route = nullptr;
+  ConnId conn = s.conn;
+  s.conn = 0;
+  Server* c = server(conn);
+  if (!c) return;
+  c->session = 0;
+  if (c->stage != Server::Stage::kIdle) {
+    c->script.clear();
+  } else if (c->in_tx) {
+    next_step(*c);
+  } else {
+    give_back(*c);
+  }
+}
+
+// Rests too long, or its database has gone: the next statement learns of it.
+void Engine::lose_transaction(Session& s) {
+  if (s.busy || s.state != 'T') return;
+  end_transaction(s, 'T');
+  s.tx_lost = true;
+}
+
+void Engine::begin_work(Session& s, std::string_view id, std::string_view text, const wire::Statement& st) {
+  if (s.tx_lost) {
+    s.tx_lost = false;
+    bool commit = st.verb == Verb::kCommit;
+    end_transaction(s, commit ? 'I' : 'E');
+    return answer(s, wire::error("ABORTED", "the transaction was ended and nothing of it is kept"));
+  }
+  Work w;
+  w.read = st.verb == Verb::kFetch;
+  if (st.verb == Verb::kExecute) {
+    auto p = s.prepared.find(std::string(st.name));
+    if (p == s.prepared.end()) return fail(s, "NOTFOUND", st.name);
+    w.read = p->second.read;
+    w.prepared_key = p->second.shape;
+    w.execute_rest = std::string(st.rest);
+  }
+  if (s.state == 'I') {
+    s.route = chart_.route(s.host);
+    if (!s.route) return fail(s, "NODATABASE", s.host);
+    s.tx_touched = s.tx_wrote = false;
+  }
+  w.active = true;
+  w.id = std::string(id);
+  w.text = std::string(text);
+  w.verb = st.verb;
+  w.began = now_;
+  w.deadline = now_ + s.route->timeout_ms;
+  s.work = std::move(w);
+  s.busy = true;
+  timers_.cancel(s.rest);
+  SessionId sid = s.id;
+  s.work.timer = timers_.at(s.work.deadline, [this, sid] {
+    if (Session* x = find(sid)) {
+      x->work.timer = 0;
+      on_deadline(sid);
+    }
+  });
+  attempt(sid);
+}
+
+// Forgets the statement under way: its timers, and its places in queues.
+void Engine::end_work(Session& s) {
+  Work& w = s.work;
+  timers_.cancel(w.timer);
+  timers_.cancel(w.patience);
+  timers_.cancel(w.wait);
+  if (!w.queued_at.empty()) std::erase(pools_[w.queued_at].waiting, s.id);
+  if (!w.held_for.empty()) std::erase(held_[w.held_for], s.id);
+  s.work = Work{};
+  s.busy = false;
+}
+
+void Engine::leave() { leaving_ = true; }
+
+void Engine::close_idle() {
+  closing_idle_ = true;
+  std::vector<SessionId> idle;
+  for (auto& [id, s] : sessions_)
+    if (!s.busy && s.state == 'I' && s.lines.empty()) idle.push_back(id);
+  for (auto id : idle) drop(id);
+}
+
+void Engine::abort_open() {
+  std::vector<SessionId> open;
+  for (auto& [id, s] : sessions_)
+    if (!s.busy) open.push_back(id);
+  for (auto id : open) drop(id);
+}
+
+}  // namespace pebblespindle::berth
--- /dev/null
+++ b/src/berth/engine.h
@@ -0,0 +1,205 @@
+// The berth's engine: sessions, pooled server connections, routing. No I/O: sockets are a Port,
+// time and timers are handed in.
+#pragma once
+#include <deque>
+#include <list>
+#include <unordered_map>
+
+#include "berth/chart.h"
+#include "berth/freshness.h"
+#include "berth/lvector.h"
+#include "keel/timers.h"
+#include "wire/wire.h"
+
+namespace pebblespindle::berth {
+
+using SessionId = std::uint64_t;
+using ConnId = std::uint64_t;
+
+class Port {
+ public:
+  virtual ~Port() = default;
+  virtual void to_client(SessionId, std::string bytes) = 0;
+  virtual void end_client(SessionId) = 0;  // after what was sent to it
+  virtual void open_server(ConnId, const Endpoint&) = 0;
+  virtual void to_server(ConnId, std::string bytes) = 0;
+  virtual void close_server(ConnId, bool orderly) = 0;
+  virtual void suspect(const InstanceId&, bool refused) = 0;
+};
+
+class Engine {
+ public:
+  Engine(Port& port, Timers& timers, std::string zone, Millis drain_ms)
+      : port_(port), timers_(timers), zone_(std::move(zone)), drain_ms_(drain_ms) {}
+
+  // Each call carries the time; timers call back with the time they were set for or later.
+  void set_time(Millis now) { now_ = now; }
+
+  void client_open(SessionId);
+  void client_line(SessionId, std::string_view line);
+  void client_closed(SessionId);
+  void client_too_long(SessionId);
+
+  void server_up(ConnId);
+  void server_line(ConnId, std::string_view line);
+  void server_down(ConnId, bool refused, bool silent);
+
+  void feed(std::uint64_t number, const std::vector<Row>& rows);
+  // The lease runs until `until` and holds only for a chart at least at `number`.
+  void lease(Millis until, std::uint64_t number, std::size_t members);
+
+  bool ready() const { return chart_.fed() && !leaving_; }
+  std::uint64_t acknowledged() const;  // the change whose effect is complete here
+  bool leaving() const { return leaving_; }
+  void leave();                        // unready; serves on for a while
+  void close_idle();                   // sessions that rest end now, the others when they are done
+  void abort_open();                   // open transactions end now
+  std::size_t sessions() const { return sessions_.size(); }
+  const Chart& chart() const { return chart_; }
+
+ private:
+  struct Prepared {
+    bool read = false;
+    std::string shape;
+  };
+  using Values = std::map<std::string, std::string>;
+  struct Work {
+    bool active = false;
+    std::string id, text;
+    wire::Verb verb = wire::Verb::kBad;
+    bool read = false;
+    std::string prepared_key;   // kind and shape of an EXECUTE
+    std::string execute_rest;
+    int attempts = 0;
+    Millis began = 0, sent_at = 0, deadline = 0;
+    bool sent = false;          // the statement itself is at a database
+    std::vector<InstanceId> tried;
+    std::string rows;           // of the answer
+    Position require;           // WAITFOR of this try
+    Timers::Id timer = 0, patience = 0, wait = 0;
+    InstanceId queued_at;       // waits for a connection to it
+    std::string held_for;       // waits for the lead of this service
+  };
+  struct Session {
+    SessionId id = 0;
+    std::string host;
+    bool greeted = false, busy = false, closing = false;
+    char state = 'I';
+    Values values;
+    std::map<std::string, Prepared> prepared;
+    LVector vector;
+    std::string vector_service;
+    std::deque<std::string> lines;
+    std::shared_ptr<const Route> route;  // of the operation under way
+    bool tx_read_only = false;
+    bool tx_touched = false;  // a statement of it has been answered
+    bool tx_wrote = false;    // a write of it may have run
+    bool tx_lost = false;
+    ConnId conn = 0;
+    Timers::Id rest = 0;
+    Work work;
+  };
+  struct Server {
+    ConnId id = 0;
+    InstanceId instance;
+    std::string service;
+    bool up = false, greeted = false;
+    bool values_unsure = false;  // RESET before the next use
+    Values values;
+    std::map<std::string, std::string> prepared;  // kind and shape -> its name here
+    SessionId session = 0;
+    std::deque<std::string> script;  // setup statements still to be sent
+    enum class Stage { kIdle, kSetup, kStatement, kCleanup } stage = Stage::kIdle;
+    bool in_tx = false;
+    bool tx_configured = false;  // values or names were set inside the open transaction
+    bool observing = false;      // the statement went out to the leader under a live lease
+    std::string error_code, error_text, stamp;
+    bool completed = false;
+    Millis idle_since = 0, opened = 0, asked = 0;
+    Timers::Id timer = 0;
+  };
+  struct Pool {
+    std::vector<ConnId> idle;
+    std::size_t total = 0, opening = 0;
+    std::deque<SessionId> waiting;
+    Millis avoid_until = 0, lagging_until = 0, limit_until = 0;
+    Millis last_answer = 0, drain_since = -1;
+    LVector vector;
+    double latency = 0, deviation = 0;
+    int silent = 0;
+  };
+  struct Choice {
+    enum class Kind { kGo, kHold, kRefuse } kind = Kind::kRefuse;
+    InstanceId instance;
+    Position require;
+    std::string code, text;
+  };
+
+  // session side
+  void pump(Session& s);
+  void handle(Session& s, std::string_view line);
+  void answer(Session& s, std::string body);  // body, then IDLE in the session's state
+  void fail(Session& s, std::string_view code, std::string_view text);
+  void local_statement(Session& s, const wire::Statement& st);
+  void begin_work(Session& s, std::string_view id, std::string_view text, const wire::Statement& st);
+  void end_work(Session& s);
+  void end_transaction(Session& s, char state);
+  void drop(SessionId id);
+  void lose_transaction(Session& s);
+
+  // routing
+  bool leased() const { return now_ < lease_until_ && chart_.number() >= lease_number_; }
+  bool usable(const Instance& i) const;
+  Choice choose(Session& s);
+  Choice choose_primary(const std::string& service);
+  void attempt(SessionId id);
+  void hold(Session& s, const std::string& service);
+  void release_held(const std::string& service);
+  void refuse(Session& s, const std::string& code, const std::string& why);
+  Millis hold_limit(const Session& s) const;
+  bool update_allowed(Session& s, const InstanceId& primary);
+
+  // pool
+  void acquire(Session& s, const InstanceId& id);
+  void open(const InstanceId& id);
+  std::size_t share(const InstanceId& id) const;
+  void hand_out(const InstanceId& id);
+  void give_back(Server& c);
+  void drop_server(ConnId id, bool orderly);
+  void redo_waiting(const InstanceId& id);
+
+  // execution
+  void dispatch(Session& s, Server& c);
+  void next_step(Server& c);
+  void step_done(Server& c, const wire::Idle& idle);
+  void setup_failed(Server& c, char state);
+  void statement_done(Server& c, const wire::Idle& idle);
+  void work_lost(Session& s, bool sent);
+  void on_patience(SessionId id);
+  void on_deadline(SessionId id);
+  bool may_retry(const Session& s) const;
+  Session* find(SessionId id);
+  Server* server(ConnId id);
+
+  Port& port_;
+  Timers& timers_;
+  std::string zone_;
+  Millis drain_ms_;
+  Millis now_ = 0;
+  Chart chart_;
+  Millis lease_until_ = 0;
+  std::uint64_t lease_number_ = 0;
+  std::size_t members_ = 1;
+  bool leaving_ = false, closing_idle_ = false;
+  std::unordered_map<SessionId, Session> sessions_;
+  std::unordered_map<ConnId, Server> servers_;
+  std::map<InstanceId, Pool> pools_;
+  std::map<std::string, Freshness> fresh_;      // by service
+  std::map<std::string, std::deque<SessionId>> held_;  // by service
+  std::map<std::string, Millis> suspended_since_;
+  std::map<std::string, std::uint64_t> shape_names_;
+  ConnId last_conn_ = 0;
+  std::uint64_t suspended_number_ = 0;
+};
+
+}  // namespace pebblespindle::berth
--- /dev/null
+++ b/src/berth/engine_exec.cc
@@ -0,0 +1,344 @@
+// Execution: statements on server connections, their answers, and what follows when none comes.
+#include <algorithm>
+#include <cmath>
+
+#include "berth/engine.h"
+
+namespace pebblespindle::berth {
+using namespace constants;
+using wire::Verb;
+
+namespace {
+
+bool not_run(std::string_view code) {
+  return code == "THROTTLED" || code == "LAGGING" || code == "READONLY" || code == "WRONGNODE" ||
+         code == "CONNLIMIT" || code == "NOTFOUND";
+}
+
+}  // namespace
+
+// Brings the connection to what the session needs, then sends the statement.
+void Engine::dispatch(Session& s, Server& c) {
+  Work& w = s.work;
+  ++w.attempts;
+  w.sent = false;
+  w.sent_at = now_;
+  w.rows.clear();
+  c.script.clear();
+  if (!c.in_tx) {
+    bool extra = c.values_unsure || c.prepared.size() > kMaxPreparedPerConn;
+    for (auto& [name, value] : c.values) extra = extra || !s.values.count(name);
+    if (extra) {
+      c.script.push_back("RESET");
+      c.values.clear();
+      c.prepared.clear();
+    }
+  }
+  for (auto& [name, value] : s.values) {
+    auto it = c.values.find(name);
+    if (it == c.values.end() || it->second != value) c.script.push_back("CONFIGURE " + name + " " + value);
+  }
+  if (!w.prepared_key.empty() && !c.prepared.count(w.prepared_key)) {
+    auto [it, fresh] = shape_names_.emplace(w.prepared_key, shape_names_.size() + 1);
+    c.script.push_back("PREPARE p" + std::to_string(it->second) + " " + w.prepared_key);
+  }
+  if (s.state == 'T' && !c.in_tx) {
+    std::string begin = s.tx_read_only ? "BEGIN FETCH" : "BEGIN";
+    if (!w.require.none()) begin = "WAITFOR " + w.require.text() + " " + begin;
+    c.script.push_back(begin);
+  }
+  auto& p = pools_[c.instance];
+  Millis patience = std::max<Millis>(kHedgeFloorMs, Millis(kHedgeFactor * (p.latency + p.deviation)));
+  timers_.cancel(w.patience);
+  w.patience = timers_.at(now_ + patience, [this, id = s.id] {
+    if (Session* x = find(id)) {
+      x->work.patience = 0;
+      on_patience(id);
+    }
+  });
+  next_step(c);
+}
+
+// Sends what comes next on this connection: a setup statement, the client's statement, or a rollback.
+void Engine::next_step(Server& c) {
+  c.error_code.clear();
+  c.error_text.clear();
+  c.stamp.clear();
+  c.completed = false;
+  c.asked = now_;
+  Session* s = find(c.session);
+  if (!s) {
+    if (!c.in_tx) return give_back(c);
+    c.stage = Server::Stage::kCleanup;
+    timers_.cancel(c.timer);
+    c.timer = timers_.at(now_ + kServerConnectMs, [this, id = c.id] { server_down(id, false, false); });
+    return port_.to_server(c.id, wire::query("-", "ROLLBACK"));
+  }
+  if (!c.script.empty()) {
+    c.stage = Server::Stage::kSetup;
+    return port_.to_server(c.id, wire::query("-", c.script.front()));
+  }
+  Work& w = s->work;
+  c.stage = Server::Stage::kStatement;
+  std::string text = w.text;
+  if (w.verb == Verb::kExecute) text = "EXECUTE " + c.prepared[w.prepared_key] + " " + w.execute_rest;
+  if (s->state != 'T' && w.read && !w.require.none()) text = "WAITFOR " + w.require.text() + " " + text;
+  w.sent = true;
+  w.sent_at = now_;
+  const Lead* l = chart_.lead(c.service);
+  c.observing = leased() && l && !l->hold && l->primary == c.instance;
+  if (!w.read && w.verb != Verb::kCommit) s->tx_wrote = true;
+  port_.to_server(c.id, wire::query(w.id, text));
+}
+
+void Engine::server_line(ConnId id, std::string_view line) {
+  Server* c = server(id);
+  if (!c) return;
+  auto rest = line;
+  auto word = wire::take(rest);
+  Pool& p = pools_[c->instance];
+  p.last_answer = now_;
+  if (!c->greeted) {
+    InstanceId instance = c->instance;
+    if (word == "IDLE") {
+      c->greeted = true;
+      timers_.cancel(c->timer);
+      if (p.opening > 0) --p.opening;
+      if (auto idle = wire::parse_idle(rest); idle && idle->position) p.vector.raise(*idle->position);
+      return give_back(*c);
+    }
+    auto code = wire::take(rest);
+    if (word == "STMTERR" && code == "CONNLIMIT")
+      p.limit_until = now_ + kAvoidMs;
+    else
+      p.avoid_until = now_ + kAvoidMs;
+    drop_server(id, false);
+    if (p.total == p.opening) redo_waiting(instance);
+    return;
+  }
+  if (word == "DATAROW") {
+    if (c->stage == Server::Stage::kStatement)
+      if (Session* s = find(c->session)) s->work.rows.append(line).append("\r\n");
+    return;
+  }
+  if (word == "COMPLETE") {
+    c->completed = true;
+    c->stamp = std::string(rest);
+    return;
+  }
+  if (word == "STMTERR") {
+    c->error_code = std::string(wire::take(rest));
+    c->error_text = std::string(rest);
+    return;
+  }
+  auto idle = word == "IDLE" ? wire::parse_idle(rest) : std::nullopt;
+  if (!idle || c->stage == Server::Stage::kIdle) return server_down(id, false, false);  // not understood
+  step_done(*c, *idle);
+}
+
+void Engine::step_done(Server& c, const wire::Idle& idle) {
+  Pool& p = pools_[c.instance];
+  p.silent = 0;
+  if (idle.position) p.vector.raise(*idle.position);
+  c.in_tx = idle.state != 'I';
+  if (c.stage == Server::Stage::kCleanup) {
+    timers_.cancel(c.timer);
+    if (idle.state != 'I') return drop_server(c.id, false);
+    return give_back(c);
+  }
+  if (c.stage == Server::Stage::kStatement) return statement_done(c, idle);
+  // setup
+  if (!c.error_code.empty() || !c.completed) return setup_failed(c, idle.state);
+  if (!find(c.session)) {
+    if (!c.script.empty()) c.script.clear();
+    c.values_unsure = true;
+    return next_step(c);
+  }
+  std::string text = std::move(c.script.front());
+  c.script.pop_front();
+  auto st = wire::parse_statement(text);
+  if (st.verb == Verb::kConfigure) {
+    c.values[std::string(st.name)] = std::string(st.rest);
+    if (c.in_tx) c.tx_configured = true;
+  } else if (st.verb == Verb::kPrepare) {
+    c.prepared[std::string(st.rest)] = std::string(st.name);
+    if (c.in_tx) c.tx_configured = true;
+  } else if (text == "RESET") {
+    c.values_unsure = false;
+  }
+  next_step(c);
+}
+
+// A setup statement met an error: the client's statement has not run.
+void Engine::setup_failed(Server& c, char) {
+  Session* s = find(c.session);
+  std::string code = c.error_code;
+  InstanceId instance = c.instance;
+  Pool& p = pools_[instance];
+  if (code == "LAGGING") p.lagging_until = now_ + kLaggingAvoidMs;
+  bool begin = !c.script.empty() && c.script.front().find("BEGIN") != std::string::npos;
+  c.session = 0;
+  if (s) s->conn = 0;
+  if (begin && !c.in_tx)
+    give_back(c);
+  else
+    drop_server(c.id, false);
+  if (!s) return;
+  s->work.tried.push_back(instance);
+  work_lost(*s, false);
+}
+
+void Engine::statement_done(Server& c, const wire::Idle& idle) {
+  Pool& p = pools_[c.instance];
+  Session* s = find(c.session);
+  bool committed_away = c.error_code.empty() && !c.completed;
+  if (committed_away) return server_down(c.id, false, false);  // an IDLE without an outcome
+  if (!s) {
+    if (!c.in_tx) {
+      if (c.tx_configured) c.values_unsure = true;
+      c.tx_configured = false;
+      return give_back(c);
+    }
+    c.values_unsure = true;
+    return next_step(c);
+  }
+  Work& w = s->work;
+  double took = double(now_ - w.sent_at);
+  if (p.latency == 0) {
+    p.latency = took, p.deviation = took / 2;
+  } else {
+    p.deviation += (std::abs(took - p.latency) - p.deviation) / 8;
+    p.latency += (took - p.latency) / 8;
+  }
+  if (idle.position) {
+    if (c.observing) fresh_[c.service].observe(w.sent_at, *idle.position);
+    s->vector = LVector(*idle.position);  // replaced by the executing database's, as the paper has it
+    s->vector_service = c.service;
+  }
+  std::string code = std::move(c.error_code), text = std::move(c.error_text);
+  bool tx = s->state == 'T';
+  bool movable = !tx || !s->tx_touched;
+  if (!code.empty() && not_run(code) && movable && may_retry(*s)) {
+    if (code == "LAGGING") p.lagging_until = now_ + kLaggingAvoidMs;
+    if (code == "NOTFOUND") c.prepared.clear(), c.values_unsure = true;
+    if (code != "NOTFOUND") w.tried.push_back(c.instance);
+    if (tx && !w.read) s->tx_wrote = false;
+    s->conn = 0;
+    c.session = 0;
+    SessionId sid = s->id;
+    if (c.in_tx)
+      next_step(c);
+    else
+      give_back(c);
+    return attempt(sid);
+  }
+  std::string body;
+  if (code.empty()) {
+    body = std::move(w.rows);
+    body.append("COMPLETE ").append(c.stamp).append("\r\n");
+    s->tx_touched = true;
+  } else {
+    if (code == "LAGGING") p.lagging_until = now_ + kLaggingAvoidMs;
+    body = wire::error(code, text);
+  }
+  char state = tx ? idle.state : 'I';
+  end_work(*s);
+  SessionId sid = s->id;
+  if (c.tx_configured && idle.state != 'T') {
+    if (!code.empty() || idle.state == 'E') c.values_unsure = true;
+    c.tx_configured = false;
+  }
+  if (state == 'T') {
+    c.stage = Server::Stage::kIdle;
+    s->state = 'T';
+  } else {
+    s->state = state;
+    s->conn = 0;
+    if (state == 'I') s->route = nullptr;
+    c.session = 0;
+    c.stage = Server::Stage::kIdle;
+  }
+  answer(*s, std::move(body));
+  if (state != 'T') {
+    if (c.in_tx)
+      next_step(c);
+    else
+      give_back(c);
+  }
+  if (Session* x = find(sid)) {
+    const Lead* l = chart_.lead(c.service);
+    if (state == 'T' && l && l->hold && suspended_since_.count(c.service) && suspended_since_[c.service] < 0 &&
+        l->primary == c.instance)
+      lose_transaction(*x);
+    pump(*x);
+  }
+}
+
+bool Engine::may_retry(const Session& s) const {
+  return s.work.attempts < s.route->max_attempts && now_ < s.work.deadline;
+}
+
+// The connection under the statement is gone, or the statement could not be offered.
+void Engine::work_lost(Session& s, bool sent) {
+  Work& w = s.work;
+  bool tx = s.state == 'T';
+  bool movable = !tx || !s.tx_touched;
+  timers_.cancel(w.patience);
+  if ((!sent || w.read) && movable && may_retry(s)) return attempt(s.id);
+  SessionId id = s.id;
+  Verb verb = w.verb;
+  bool unsure = sent && (verb == Verb::kCommit ? s.tx_wrote : !tx && !w.read);
+  end_work(s);
+  if (unsure) {
+    s.state = 'I';
+    s.route = nullptr;
+    answer(s, wire::error("UNKNOWN", "the database gave no answer; the write may be kept or not"));
+  } else if (tx) {
+    end_transaction(s, verb == Verb::kCommit ? 'I' : 'E');
+    answer(s, wire::error("ABORTED", "the database was lost and nothing of the transaction is kept"));
+  } else {
+    fail(s, "THROTTLED", "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms / 2 : 50) +
+                             " no database could run it");
+  }
+  if (Session* x = find(id)) pump(*x);
+}
+
+// No answer for much longer than usual.
+void Engine::on_patience(SessionId id) {
+  Session* s = find(id);
+  if (!s || !s->work.active || !s->conn) return;
+  Server* c = server(s->conn);
+  if (!c) return;
+  Pool& p = pools_[c->instance];
+  if (p.last_answer < s->work.sent_at && ++p.silent >= kSilentReports) port_.suspect(c->instance, false);
+  Work& w = s->work;
+  bool movable = s->state != 'T' || !s->tx_touched;
+  if (!w.read || !movable || !may_retry(*s)) return;
+  // A read may run twice: try it elsewhere, or there again on another connection.
+  ConnId conn = s->conn;
+  s->conn = 0;
+  InstanceId instance = c->instance;
+  c->session = 0;
+  drop_server(conn, false);
+  const Lead* l = chart_.lead(s->route->service);
+  if (!l || l->primary != instance) w.tried.push_back(instance);
+  attempt(id);
+}
+
+void Engine::on_deadline(SessionId id) {
+  Session* s = find(id);
+  if (!s || !s->work.active) return;
+  bool sent = s->work.sent && s->conn;
+  if (!sent) return refuse(*s, "THROTTLED", "no database could run it in time");
+  ConnId conn = s->conn;
+  s->conn = 0;
+  if (Server* c = server(conn)) {
+    if (pools_[c->instance].last_answer < s->work.sent_at) port_.suspect(c->instance, false);
+    c->session = 0;
+  }
+  drop_server(conn, false);
+  s->work.attempts = 1000;  // the time is over
+  work_lost(*s, true);
+}
+
+}  // namespace pebblespindle::berth
--- /dev/null
+++ b/src/berth/engine_route.cc
@@ -0,0 +1,380 @@
+// Routing: which database may run a statement, when to wait, when to refuse; and the pools.
+#include <algorithm>
+
+#include "berth/engine.h"
+
+namespace pebblespindle::berth {
+using namespace constants;
+using wire::Verb;
+
+// --- the control state ---------------------------------------------------------
+
+void Engine::feed(std::uint64_t number, const std::vector<Row>& rows) {
+  auto leads_before = std::map<std::string, Lead>();
+  for (auto& [name, spec] : chart_.config().services)
+    if (auto* l = chart_.lead(name)) leads_before[name] = *l;
+  std::uint64_t before = chart_.number();
+  if (!chart_.apply(number, rows)) return;
+  for (auto& r : rows) {
+    if (r.key.starts_with("i/")) {
+      InstanceId id{r.key.substr(2)};
+      const Instance* i = chart_.instance(id);
+      auto p = pools_.find(id);
+      if (i && i->draining) {
+        if (pools_[id].drain_since < 0) pools_[id].drain_since = now_;
+      } else if (!i && p != pools_.end()) {
+        std::vector<ConnId> idle = p->second.idle;
+        for (auto c : idle) drop_server(c, true);
+        redo_waiting(id);
+      }
+    } else if (r.key.starts_with("s/")) {
+      std::string service = r.key.substr(2);
+      const Lead* l = chart_.lead(service);
+      if (!l) continue;
+      if (!l->hold) {
+        suspended_since_.erase(service);
+        auto old = leads_before.find(service);
+        if (old != leads_before.end() && old->second.primary != l->primary) pools_[l->primary].avoid_until = 0;
+        release_held(service);
+        continue;
+      }
+      if (suspended_since_.count(service)) continue;
+      if (suspended_since_.empty()) suspended_number_ = before;
+      suspended_since_[service] = now_;
+      auto end_open = [this, service, primary = l->primary, planned = l->planned] {
+        std::vector<ConnId> conns;
+        for (auto& [cid, c] : servers_)
+          if (c.instance == primary) conns.push_back(cid);
+        for (auto cid : conns) {
+          Server* c = server(cid);
+          if (!c) continue;
+          Session* s = find(c->session);
+          if (planned) {
+            // A statement under way ends by itself: once the replicas are held nothing more can be committed.
+            if (s && !s->busy && s->state == 'T') lose_transaction(*s);
+          } else {
+            server_down(cid, false, false);
+          }
+        }
+        auto it = suspended_since_.find(service);
+        if (it != suspended_since_.end()) it->second = -1;  // done with
+      };
+      if (l->planned)
+        timers_.at(now_ + kSwitchDrainMs, end_open);
+      else
+        end_open();
+    }
+  }
+}
+
+std::uint64_t Engine::acknowledged() const {
+  for (auto& [service, since] : suspended_since_) {
+    if (since < 0) continue;
+    const Lead* l = chart_.lead(service);
+    if (!l) continue;
+    for (auto& [id, c] : servers_)
+      if (c.instance == l->primary && c.session != 0) return suspended_number_;
+  }
+  return chart_.number();
+}
+
+void Engine::lease(Millis until, std::uint64_t number, std::size_t members) {
+  bool had = leased();
+  lease_until_ = std::max(lease_until_, until);
+  lease_number_ = number;
+  members_ = std::max<std::size_t>(1, members);
+  if (had || !leased()) return;
+  std::vector<std::string> services;
+  for (auto& [service, q] : held_) services.push_back(service);
+  for (auto& s : services) release_held(s);
+}
+
+// --- choosing ----------------------------------------------------------------------
+
+bool Engine::usable(const Instance& i) const {
+  auto p = pools_.find(i.id);
+  if (p == pools_.end()) return true;
+  if (p->second.drain_since >= 0 && now_ >= p->second.drain_since + drain_ms_ - kDrainGuardMs) return false;
+  return now_ >= p->second.avoid_until;
+}
+
+Engine::Choice Engine::choose_primary(const std::string& service) {
+  Choice c;
+  c.kind = Choice::Kind::kHold;
+  const Lead* l = chart_.lead(service);
+  if (!l || l->hold || !leased()) return c;
+  const Instance* i = chart_.instance(l->primary);
+  if (!i || !usable(*i)) return c;
+  c.kind = Choice::Kind::kGo;
+  c.instance = l->primary;
+  return c;
+}
+
+// The paper's check before an update goes out: the primary must not be behind what the session has seen.
+// A primary holds all that replicas of its own term show, so only a newer term can put it behind.
+bool Engine::update_allowed(Session& s, const InstanceId& primary) {
+  if (s.vector_service != s.route->service) return true;
+  auto& v = pools_[primary].vector;
+  if (v.empty() || s.vector <= v) return true;
+  if (s.vector.newest().term > v.newest().term) return false;
+  v.raise(s.vector.newest());
+  return true;
+}
+
+Engine::Choice Engine::choose(Session& s) {
+  const Route& route = *s.route;
+  bool tx = s.state == 'T';
+  bool read_only = tx ? s.tx_read_only : s.work.read;
+  if (route.type == RouteType::kPrimary || !read_only) {
+    Choice c = choose_primary(route.service);
+    if (c.kind == Choice::Kind::kGo && !update_allowed(s, c.instance)) c.kind = Choice::Kind::kHold;
+    return c;
+  }
+  Choice primary = choose_primary(route.service);
+  auto bound = fresh_[route.service].bound(now_, route.stale_ms);
+  if (!bound) return primary;  // its answer is the next observation
+  Position require = *bound;
+  if (route.type == RouteType::kReadYourWrites) {
+    if (s.vector_service != route.service) {
+      // A session starts with the node's vector: that of the replica at home, else none.
+      s.vector = LVector();
+      s.vector_service = route.service;
+      for (auto& [id, i] : chart_.instances())
+        if (i.service == route.service && i.zone == zone_ && pools_.count(id)) s.vector = pools_[id].vector;
+    }
+    require = std::max(require, s.vector.newest());
+  }
+  const Lead* lead = chart_.lead(route.service);
+  const Instance* best = nullptr;
+  long best_cost = 0;
+  for (auto& [id, i] : chart_.instances()) {
+    if (i.service != route.service || !usable(i)) continue;
+    if (std::find(s.work.tried.begin(), s.work.tried.end(), id) != s.work.tried.end()) continue;
+    bool leads = lead && lead->primary == id;
+    if (leads && primary.kind != Choice::Kind::kGo) continue;
+    auto& pool = pools_[id];
+    bool behind = !leads && now_ < pool.lagging_until && pool.vector.newest() < require;
+    long cost = (i.zone == zone_ ? 0 : 20) + (leads ? 5 : 0) + (i.draining ? 40 : 0) + (behind ? 60 : 0) +
+                long(std::min<std::size_t>(pool.waiting.size(), 20)) * 4;
+    if (behind && primary.kind == Choice::Kind::kGo && !leads) continue;
+    if (!best || cost < best_cost) best = &i, best_cost = cost;
+  }
+  if (!best) return primary;
+  Choice c;
+  c.kind = Choice::Kind::kGo;
+  c.instance = best->id;
+  if (!lead || lead->primary != best->id) c.require = require;
+  return c;
+}
+
+void Engine::attempt(SessionId id) {
+  Session* s = find(id);
+  if (!s || !s->work.active) return;
+  if (s->conn) {
+    if (Server* c = server(s->conn)) return dispatch(*s, *c);
+    s->conn = 0;
+  }
+  Choice c = choose(*s);
+  if (c.kind == Choice::Kind::kGo) {
+    s->work.require = c.require;
+    return acquire(*s, c.instance);
+  }
+  if (c.kind == Choice::Kind::kHold) return hold(*s, s->route->service);
+  refuse(*s, c.code, c.text);
+}
+
+Millis Engine::hold_limit(const Session& s) const {
+  return std::min(s.work.began + std::max<Millis>(s.route->target_ms / 2, 1), s.work.deadline);
+}
+
+void Engine::hold(Session& s, const std::string& service) {
+  Millis until = hold_limit(s);
+  if (now_ >= until) return refuse(s, "THROTTLED", "the primary is being replaced");
+  s.work.held_for = service;
+  held_[service].push_back(s.id);
+  timers_.cancel(s.work.wait);
+  s.work.wait = timers_.at(until, [this, id = s.id] {
+    if (Session* x = find(id)) {
+      x->work.wait = 0;
+      refuse(*x, "THROTTLED", "the primary is being replaced");
+    }
+  });
+}
+
+void Engine::release_held(const std::string& service) {
+  auto q = std::move(held_[service]);
+  held_.erase(service);
+  for (auto id : q) {
+    Session* s = find(id);
+    if (!s) continue;
+    s->work.held_for.clear();
+    timers_.cancel(s->work.wait);
+  }
+  for (auto id : q) attempt(id);
+}
+
+// Refuses a statement that has not run, with a promise and a time to come back.
+void Engine::refuse(Session& s, const std::string& code, const std::string& why) {
+  end_work(s);
+  SessionId id = s.id;
+  fail(s, code, "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms : 100) + " " + why);
+  if (Session* x = find(id)) pump(*x);
+}
+
+// --- pools ----------------------------------------------------------------------------
+
+std::size_t Engine::share(const InstanceId& id) const {
+  const Instance* i = chart_.instance(id);
+  if (!i) return 0;
+  auto it = chart_.config().services.find(i->service);
+  int cap = it == chart_.config().services.end() ? 16 : it->second.max_connections;
+  return std::max<std::size_t>(1, std::size_t(std::max(1, cap - kConnReservePerDatabase)) / members_);
+}
+
+void Engine::acquire(Session& s, const InstanceId& id) {
+  Pool& p = pools_[id];
+  if (!p.idle.empty() && p.waiting.empty()) {
+    // One that carries the session's values already saves a round trip; the newest is the warmest.
+    std::size_t best = p.idle.size() - 1;
+    for (std::size_t i = p.idle.size(); i-- > 0;) {
+      Server* c = server(p.idle[i]);
+      if (c && !c->values_unsure && c->values == s.values) {
+        best = i;
+        break;
+      }
+    }
+    ConnId cid = p.idle[best];
+    p.idle.erase(p.idle.begin() + std::ptrdiff_t(best));
+    Server* c = server(cid);
+    c->session = s.id;
+    s.conn = cid;
+    return dispatch(s, *c);
+  }
+  s.work.queued_at = id;
+  p.waiting.push_back(s.id);
+  if (p.opening < p.waiting.size() && p.total < share(id) && now_ >= p.limit_until) open(id);
+  timers_.cancel(s.work.wait);
+  s.work.wait = timers_.at(std::min(s.work.began + s.route->target_ms, s.work.deadline), [this, sid = s.id] {
+    Session* x = find(sid);
+    if (!x) return;
+    x->work.wait = 0;
+    std::erase(pools_[x->work.queued_at].waiting, sid);
+    x->work.queued_at = {};
+    refuse(*x, "THROTTLED", "no connection to the database is free");
+  });
+}
+
+void Engine::open(const InstanceId& id) {
+  const Instance* i = chart_.instance(id);
+  if (!i) return;
+  Pool& p = pools_[id];
+  Server c;
+  c.id = ++last_conn_;
+  c.instance = id;
+  c.service = i->service;
+  c.opened = now_;
+  ++p.total;
+  ++p.opening;
+  c.timer = timers_.at(now_ + kServerConnectMs, [this, cid = c.id] { server_down(cid, false, true); });
+  ConnId cid = c.id;
+  servers_.emplace(cid, std::move(c));
+  port_.open_server(cid, i->address);
+}
+
+void Engine::server_up(ConnId id) {
+  Server* c = server(id);
+  if (!c) return;
+  c->up = true;
+  port_.to_server(id, "CONNECT " + c->service + " berth " + c->instance.value + "\r\n");
+}
+
+void Engine::hand_out(const InstanceId& id) {
+  Pool& p = pools_[id];
+  while (!p.idle.empty() && !p.waiting.empty()) {
+    SessionId sid = p.waiting.front();
+    p.waiting.pop_front();
+    Session* s = find(sid);
+    if (!s) continue;
+    s->work.queued_at = {};
+    timers_.cancel(s->work.wait);
+    ConnId cid = p.idle.back();
+    p.idle.pop_back();
+    Server* c = server(cid);
+    c->session = sid;
+    s->conn = cid;
+    dispatch(*s, *c);
+  }
+}
+
+void Engine::give_back(Server& c) {
+  c.session = 0;
+  c.stage = Server::Stage::kIdle;
+  c.in_tx = false;
+  c.idle_since = now_;
+  Pool& p = pools_[c.instance];
+  InstanceId id = c.instance;
+  if (!chart_.instance(id) || p.total > share(id)) return drop_server(c.id, true);
+  p.idle.push_back(c.id);
+  hand_out(id);
+}
+
+void Engine::drop_server(ConnId id, bool orderly) {
+  Server* c = server(id);
+  if (!c) return;
+  Pool& p = pools_[c->instance];
+  std::erase(p.idle, id);
+  if (p.total > 0) --p.total;
+  if (!c->greeted && p.opening > 0) --p.opening;
+  timers_.cancel(c->timer);
+  InstanceId instance = c->instance;
+  servers_.erase(id);
+  port_.close_server(id, orderly);
+  if (p.opening < p.waiting.size() && p.total < share(instance) && now_ >= p.limit_until &&
+      now_ >= p.avoid_until)
+    open(instance);
+}
+
+// Those who wait for this database look around anew.
+void Engine::redo_waiting(const InstanceId& id) {
+  auto q = std::move(pools_[id].waiting);
+  pools_[id].waiting.clear();
+  for (auto sid : q) {
+    Session* s = find(sid);
+    if (!s) continue;
+    s->work.queued_at = {};
+    timers_.cancel(s->work.wait);
+  }
+  for (auto sid : q) attempt(sid);
+}
+
+void Engine::server_down(ConnId id, bool refused, bool silent) {
+  Server* c = server(id);
+  if (!c) return;
+  Pool& p = pools_[c->instance];
+  InstanceId instance = c->instance;
+  bool greeted = c->greeted;
+  Session* s = find(c->session);
+  bool in_flight = s && s->busy && s->conn == id && c->stage != Server::Stage::kIdle;
+  bool sent = in_flight && s->work.sent;
+  if (!greeted) {
+    p.avoid_until = now_ + kAvoidMs;
+    port_.suspect(instance, refused && !silent);
+    timers_.at(p.avoid_until, [this, instance] {
+      const Instance* i = chart_.instance(instance);
+      if (i) release_held(i->service);
+    });
+  }
+  SessionId sid = s ? s->id : 0;
+  drop_server(id, false);
+  s = find(sid);
+  if (s && s->conn == id) {
+    s->conn = 0;
+    if (in_flight)
+      work_lost(*s, sent);
+    else if (s->state == 'T')
+      s->tx_lost = true;
+  }
+  if (!greeted) redo_waiting(instance);
+}
+
+}  // namespace pebblespindle::berth
--- /dev/null
+++ b/src/duty/failover.cc
@@ -0,0 +1,342 @@
+#include "duty/failover.h"
+
+#include <algorithm>
+
+#include "keel/constants.h"
+#include "ordinance/ordinance.h"
+
+namespace pebblespindle::duty {
+using namespace constants;
+
+std::vector<Instance> Failover::members(const std::string& service) const {
+  std::vector<Instance> out;
+  ledger_.each("i/", [&](const Row& r) {
+    auto i = Instance::from({r.key.substr(2)}, r.value);
+    if (i && i->service == service) out.push_back(*i);
+  });
+  return out;
+}
+
+std::optional<Lead> Failover::lead(const std::string& service) const {
+  const Row* r = ledger_.find(lead_key(service));
+  return r ? Lead::from(r->value) : std::nullopt;
+}
+
+int Failover::sync_replicas(const std::string& service) const {
+  const Row* r = ledger_.find(kConfigKey);
+  if (!r) return 1;
+  auto c = read_configuration(r->value);
+  if (!c) return 1;
+  auto it = c.value->services.find(service);
+  return it == c.value->services.end() ? 1 : it->second.sync_replicas;
+}
+
+void Failover::go(Job& job, Step step) {
+  job.step = step;
+  job.since = now_;
+  ++job.round;
+}
+
+void Failover::again(Millis now, Job& job) {
+  go(job, Step::kHolding);
+  job.retry_at = now + kSwitchRetryMs;
+}
+
+void Failover::suspect(Millis now, const InstanceId& id, const std::string& zone, bool refused) {
+  auto& r = reports_[id];
+  r.zones[zone] = now;
+  if (refused) r.refused = now;
+}
+
+void Failover::told(Millis now, const Instance& i) {
+  now_ = now;
+  auto job = jobs_.find(i.service);
+  if (job != jobs_.end() && job->second.step == Step::kAwaiting && i.primary && job->second.successor == i.id) {
+    job->second.told = true;
+    tick(now);
+  }
+}
+
+void Failover::tick(Millis now) {
+  now_ = now;
+  if (!out_.holds()) {
+    jobs_.clear();
+    return;
+  }
+  std::vector<std::string> services;
+  ledger_.each("s/", [&](const Row& r) { services.push_back(r.key.substr(2)); });
+  for (auto& s : services) consider(now, s, jobs_[s]);
+}
+
+void Failover::consider(Millis now, const std::string& service, Job& job) {
+  auto l = lead(service);
+  if (!l) return;
+  switch (job.step) {
+    case Step::kIdle: {
+      if (l->hold) {  // taken over from another holder, or just begun
+        job.held_number = ledger_.find(lead_key(service))->number;
+        job.held_since = now;
+        job.called = true;  // another holder may have called
+        return go(job, Step::kHolding);
+      }
+      if (now < job.retry_at) return;
+      const Row* row = ledger_.find(instance_key(l->primary));
+      auto primary = row ? Instance::from(l->primary, row->value) : std::nullopt;
+      auto all = members(service);
+      bool successor = std::any_of(all.begin(), all.end(), [&](const Instance& i) {
+        return i.id != l->primary && !i.draining;
+      });
+      if (!successor) return;
+      if (!primary) return begin(now, service, *l, false, "the primary has left");
+      if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
+      auto rep = reports_.find(l->primary);
+      if (rep == reports_.end()) return;
+      auto& r = rep->second;
+      std::erase_if(r.zones, [&](auto& z) { return z.second < now - kSuspectWindowMs; });
+      bool refused = r.refused > now - kSuspectWindowMs;
+      if (r.zones.empty() || r.asking || now < r.quiet_until) return;
+      if (!refused && r.zones.size() < 2) return;
+      r.asking = true;
+      out_.ask(*primary, "INFO", [this, service, lead = *l](DbReply reply) {
+        auto& rr = reports_[lead.primary];
+        rr.asking = false;
+        if (reply.kind == DbReply::Kind::kRow || reply.kind == DbReply::Kind::kError) {
+          rr = {};
+          rr.quiet_until = now_ + kSuspectQuietMs;
+          return;
+        }
+        rr.silent_infos = reply.kind == DbReply::Kind::kSilent ? rr.silent_infos + 1 : 0;
+        bool dead = reply.kind == DbReply::Kind::kRefused || rr.silent_infos >= 2;
+        if (!dead) return;
+        rr = {};
+        auto current = this->lead(service);
+        if (current && !current->hold && current->primary == lead.primary && out_.holds())
+          begin(now_, service, *current, false,
+                reply.kind == DbReply::Kind::kRefused ? "the primary refuses connections" : "the primary is silent");
+      });
+      return;
+    }
+    case Step::kAsking:
+      return;
+    case Step::kHolding: {
+      if (now < job.retry_at) return;
+      bool expired = now >= job.held_since + kNodeLeaseMs + kViewLeaseMs + 2 * kDriftMarginMs;
+      if (!expired && !out_.all_acknowledged(job.held_number)) return;
+      return survey(now, service, job);
+    }
+    case Step::kPromoting:
+    case Step::kSurvey:
+    case Step::kPausing:
+    case Step::kFinishing:
+      if (now > job.since + 4 * kPlatformTimeoutMs) again(now, job);  // an answer went missing
+      return;
+    case Step::kAwaiting:
+      if (job.told || now >= job.since + kPromoteCheckMs) confirm_lead(now, service, job);
+      return;
+  }
+}
+
+void Failover::begin(Millis now, const std::string& service, const Lead& l, bool planned, const std::string& why) {
+  auto& job = jobs_[service];
+  const Row* row = ledger_.find(lead_key(service));
+  if (!row) return;
+  out_.note("Failover of " + service + " begins: " + why + " (" + l.primary.value + ").");
+  Lead next = l;
+  next.hold = true;
+  next.planned = planned;
+  job = Job{};
+  job.since = now;
+  go(job, Step::kAsking);
+  std::uint64_t round = job.round;
+  out_.submit(lead_update(service, row->value, next), [this, service, round](chain::Answer) {
+    auto& j = jobs_[service];
+    if (j.step != Step::kAsking || j.round != round) return;
+    auto current = lead(service);
+    if (!current || !current->hold) {
+      j.retry_at = now_ + kSwitchRetryMs;
+      return go(j, Step::kIdle);
+    }
+    j.held_number = ledger_.find(lead_key(service))->number;
+    j.held_since = now_;
+    go(j, Step::kHolding);
+    consider(now_, service, j);
+  });
+}
+
+void Failover::ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom,
+                       const std::string& statement, std::function<void()> then) {
+  job.replies.clear();
+  job.awaited = whom.size();
+  std::uint64_t round = job.round;
+  for (auto& i : whom)
+    out_.ask(i, statement, [this, service, round, id = i.id, then](DbReply r) {
+      auto& j = jobs_[service];
+      if (j.round != round) return;
+      j.replies[id] = r;
+      if (--j.awaited == 0) then();
+    });
+}
+
+// Learns the newest term, and whether someone leads already.
+void Failover::survey(Millis now, const std::string& service, Job& job) {
+  go(job, Step::kSurvey);
+  auto whom = members(service);
+  if (whom.empty()) return again(now, job);
+  ask_all(service, job, whom, "INFO", [this, service] { surveyed(now_, service, jobs_[service]); });
+}
+
+void Failover::surveyed(Millis now, const std::string& service, Job& job) {
+  auto l = lead(service);
+  if (!l || !l->hold) return go(job, Step::kIdle);
+  std::uint64_t newest = l->term, old_term = 0;
+  InstanceId leader;
+  std::uint64_t leader_term = 0;
+  for (auto& [id, r] : job.replies) {
+    if (r.kind != DbReply::Kind::kRow) continue;
+    newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
+    if (id == l->primary && r.info.primary) old_term = r.info.term;
+    if (id != l->primary && r.info.primary && r.info.term > leader_term) leader = id, leader_term = r.info.term;
+  }
+  if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
+  bool alive = old_term > 0;
+  if (alive && !l->planned && !job.called) return abandon(now, service, job);
+  std::vector<Instance> whom;
+  for (auto& i : members(service))
+    if (i.id != l->primary) whom.push_back(i);
+  if (whom.empty()) return again(now, job);
+  job.term = newest;
+  go(job, Step::kPausing);
+  auto survey = job.replies;
+  ask_all(service, job, whom, "PAUSE " + std::to_string(newest + 1),
+          [this, service] { paused(now_, service, jobs_[service]); });
+}
+
+void Failover::paused(Millis now, const std::string& service, Job& job) {
+  auto l = lead(service);
+  if (!l || !l->hold) return go(job, Step::kIdle);
+  const bool must_have_all = sync_replicas(service) > 0;
+  std::optional<Position> furthest;
+  bool missing = false;
+  std::vector<Instance> whom;
+  for (auto& i : members(service)) {
+    if (i.id == l->primary) continue;
+    auto r = job.replies.find(i.id);
+    if (r == job.replies.end() || r->second.kind != DbReply::Kind::kRow) {
+      missing = true;
+      continue;
+    }
+    whom.push_back(i);
+    if (!furthest || r->second.info.received > *furthest) furthest = r->second.info.received;
+  }
+  if (whom.empty() || (missing && must_have_all)) {
+    // Which commits the one out of reach holds is not known: nothing is promoted over it.
+    if (now > job.since) out_.note("Failover of " + service + " waits: not every replica can be reached.");
+    return again(now, job);
+  }
+  const Instance* best = nullptr;
+  for (auto& i : whom) {
+    if (job.replies[i.id].info.received != *furthest) continue;
+    if (!best || (best->draining && !i.draining) ||
+        (best->draining == i.draining && job.replies[i.id].info.lag_ms < job.replies[best->id].info.lag_ms))
+      best = &i;
+  }
+  if (best->draining && l->planned) {
+    bool other = std::any_of(whom.begin(), whom.end(), [](auto& i) { return !i.draining; });
+    // One that stays will have caught up in a moment: let the replicas receive once more.
+    if (other) {
+      ++job.round;
+      ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
+      return;
+    }
+  }
+  job.successor = best->id;
+  promote(now, service, job);
+}
+
+void Failover::promote(Millis now, const std::string& service, Job& job) {
+  if (!out_.holds()) return go(job, Step::kIdle);
+  go(job, Step::kPromoting);
+  job.called = true;
+  std::uint64_t round = job.round;
+  out_.note("Failover of " + service + " promotes " + job.successor.value + ".");
+  out_.promote(service, job.successor, [this, service, round](int status) {
+    auto& j = jobs_[service];
+    if (j.round != round) return;
+    if (status == 409) return again(now_, j);
+    if (status == 200 || status == 0) {
+      go(j, Step::kAwaiting);
+      j.told = false;
+      return;
+    }
+    out_.note("The platform answered " + std::to_string(status) + "; the call is made again.");
+    j.retry_at = now_ + kPromoteRetryMs;
+    go(j, Step::kHolding);
+  });
+  (void)now;
+}
+
+void Failover::confirm_lead(Millis now, const std::string& service, Job& job) {
+  const Row* row = ledger_.find(instance_key(job.successor));
+  auto i = row ? Instance::from(job.successor, row->value) : std::nullopt;
+  if (!i) return again(now, job);
+  go(job, Step::kFinishing);
+  std::uint64_t round = job.round;
+  out_.ask(*i, "INFO", [this, service, round](DbReply r) {
+    auto& j = jobs_[service];
+    if (j.round != round) return;
+    if (r.kind == DbReply::Kind::kRow && r.info.primary) return announce(now_, service, j, j.successor, r.info.term);
+    again(now_, j);
+  });
+}
+
+void Failover::announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term) {
+  const Row* row = ledger_.find(lead_key(service));
+  auto l = lead(service);
+  if (!row || !l) return;
+  InstanceId old = l->primary;
+  go(job, Step::kFinishing);
+  std::uint64_t round = job.round;
+  out_.note("Failover of " + service + ": " + id.value + " leads term " + std::to_string(term) + ".");
+  out_.submit(lead_update(service, row->value, Lead{id, false, false, term}),
+              [this, service, round, old, id, term](chain::Answer) {
+                auto& j = jobs_[service];
+                if (j.round != round) return;
+                auto current = lead(service);
+                if (!current || current->hold) return again(now_, j);
+                for (auto& i : members(service)) {
+                  if (i.id == id) continue;
+                  out_.ask(i, i.id == old ? "STEPDOWN " + std::to_string(term) : std::string("CONTINUE"),
+                           [](DbReply) {});
+                }
+                j = Job{};
+                reports_.clear();
+              });
+  (void)now;
+}
+
+// The primary is there after all: the replicas go on receiving and it leads again.
+void Failover::abandon(Millis now, const std::string& service, Job& job) {
+  const Row* row = ledger_.find(lead_key(service));
+  auto l = lead(service);
+  if (!row || !l) return;
+  out_.note("Failover of " + service + " is given up: the primary answers.");
+  go(job, Step::kFinishing);
+  std::uint64_t round = job.round;
+  std::vector<Instance> whom;
+  for (auto& i : members(service))
+    if (i.id != l->primary) whom.push_back(i);
+  for (auto& i : whom) out_.ask(i, "CONTINUE", [](DbReply) {});
+  Lead next = *l;
+  next.hold = next.planned = false;
+  out_.submit(lead_update(service, row->value, next), [this, service, round](chain::Answer) {
+    auto& j = jobs_[service];
+    if (j.round != round) return;
+    auto current = lead(service);
+    if (!current || current->hold) return again(now_, j);
+    j = Job{};
+    j.retry_at = now_ + kSwitchRetryMs;
+  });
+  (void)now;
+}
+
+}  // namespace pebblespindle::duty
--- /dev/null
+++ b/src/duty/failover.h
@@ -0,0 +1,84 @@
+// The failover duty: suspects, suspends, holds, promotes, announces. No I/O of its own.
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+
+#include "chain/node.h"
+#include "ordinance/records.h"
+#include "wire/wire.h"
+
+namespace pebblespindle::duty {
+
+// How a database answered a statement of the core's own.
+struct DbReply {
+  enum class Kind { kRow, kError, kRefused, kSilent } kind = Kind::kSilent;
+  wire::Info info;
+};
+
+class Failover {
+ public:
+  struct Out {
+    std::function<bool()> holds;  // the duty lease, read right before each step that needs it
+    std::function<void(const Instance&, const std::string& statement, std::function<void(DbReply)>)> ask;
+    std::function<void(const std::string& service, const InstanceId&, std::function<void(int status)>)> promote;
+    std::function<void(Json update, std::function<void(chain::Answer)>)> submit;
+    std::function<bool(std::uint64_t number)> all_acknowledged;  // by every node with a live lease
+    std::function<void(const std::string&)> note;
+  };
+  Failover(const Ledger& ledger, Out out) : ledger_(ledger), out_(std::move(out)) {}
+
+  void tick(Millis now);
+  // A node met trouble with a database.
+  void suspect(Millis now, const InstanceId& id, const std::string& zone, bool refused);
+  // A database has told of itself (a beat came in).
+  void told(Millis now, const Instance& i);
+
+ private:
+  enum class Step { kIdle, kAsking, kHolding, kSurvey, kPausing, kPromoting, kAwaiting, kFinishing };
+  struct Job {
+    Step step = Step::kIdle;
+    Millis since = 0, retry_at = 0;
+    std::uint64_t round = 0;  // answers of earlier rounds are dropped
+    std::size_t awaited = 0;
+    std::map<InstanceId, DbReply> replies;
+    InstanceId successor;
+    Millis held_since = 0;
+    std::uint64_t held_number = 0;
+    std::uint64_t term = 0;
+    bool called = false;  // a promote may have been taken
+    bool told = false;
+  };
+  struct Reports {
+    std::map<std::string, Millis> zones;
+    Millis refused = -100000;
+    int silent_infos = 0;
+    Millis quiet_until = 0;
+    bool asking = false;
+  };
+  std::vector<Instance> members(const std::string& service) const;
+  std::optional<Lead> lead(const std::string& service) const;
+  void consider(Millis now, const std::string& service, Job& job);
+  void begin(Millis now, const std::string& service, const Lead& lead, bool planned, const std::string& why);
+  void go(Job& job, Step step);
+  void survey(Millis now, const std::string& service, Job& job);
+  void surveyed(Millis now, const std::string& service, Job& job);
+  void paused(Millis now, const std::string& service, Job& job);
+  void promote(Millis now, const std::string& service, Job& job);
+  void confirm_lead(Millis now, const std::string& service, Job& job);
+  void announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term);
+  void abandon(Millis now, const std::string& service, Job& job);
+  void again(Millis now, Job& job);
+  void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom, const std::string& statement,
+               std::function<void()> then);
+  int sync_replicas(const std::string& service) const;
+
+  const Ledger& ledger_;
+  Out out_;
+  Millis now_ = 0;
+  std::map<std::string, Job> jobs_;
+  std::map<InstanceId, Reports> reports_;
+  std::map<InstanceId, Millis> stepdown_;  // old primaries still to be told
+};
+
+}  // namespace pebblespindle::duty
--- /dev/null
+++ b/src/harbourmaster/db_caller.cc
@@ -0,0 +1,100 @@
+#include "harbourmaster/db_caller.h"
+
+#include "keel/constants.h"
+
+namespace pebblespindle {
+using namespace constants;
+using duty::DbReply;
+
+void DbCaller::ask(const Instance& to, const std::string& statement, std::function<void(DbReply)> done) {
+  auto& line = lines_[to.id];
+  bool fresh = !line;
+  if (fresh) line = std::make_shared<Line>();
+  LinePtr l = line;
+  l->used = loop_.now();
+  l->calls.push_back({statement, std::move(done), 0});
+  l->calls.back().timer = loop_.timers().at(loop_.now() + kInfoTimeoutMs, [this, id = to.id, l] {
+    fail(id, l, DbReply::Kind::kSilent);
+  });
+  loop_.rearm();
+  if (fresh)
+    connect(to, l);
+  else if (l->ready && l->calls.size() == 1)
+    send_first(to.id, l);
+}
+
+void DbCaller::connect(const Instance& to, const LinePtr& line) {
+  LineConn::connect(
+      loop_.io(), to.address, kInfoTimeoutMs, kMaxMessageBytes,
+      [this, to, line](LineConn::Ptr conn, const asio::error_code& ec) {
+        if (line->calls.empty()) {  // given up meanwhile
+          if (conn) conn->close();
+          return;
+        }
+        if (!conn) {
+          bool silent = ec == asio::error::operation_aborted || ec == asio::error::timed_out;
+          return fail(to.id, line, silent ? DbReply::Kind::kSilent : DbReply::Kind::kRefused);
+        }
+        line->conn = conn;
+        conn->start({[this, id = to.id, line](std::string_view text) { on_line(id, line, text); },
+                     [this, id = to.id, line](LineConn::End) { fail(id, line, DbReply::Kind::kRefused); },
+                     [this] { loop_.rearm(); }});
+        conn->send("CONNECT " + to.service + " harbourmaster " + to.id.value + "\r\n");
+      });
+}
+
+void DbCaller::send_first(const InstanceId&, const LinePtr& line) {
+  line->reply = {};
+  line->reply.kind = DbReply::Kind::kError;
+  line->conn->send(wire::query("-", line->calls.front().statement));
+}
+
+void DbCaller::on_line(const InstanceId& id, const LinePtr& line, std::string_view text) {
+  auto word = wire::take(text);
+  if (!line->ready) {
+    if (word != "IDLE") return fail(id, line, DbReply::Kind::kError);
+    line->ready = true;
+    if (!line->calls.empty()) send_first(id, line);
+    return;
+  }
+  if (word == "DATAROW") {
+    if (auto info = wire::parse_info(text)) {
+      line->reply.kind = DbReply::Kind::kRow;
+      line->reply.info = *info;
+    }
+  } else if (word == "IDLE" && !line->calls.empty()) {
+    Call call = std::move(line->calls.front());
+    line->calls.erase(line->calls.begin());
+    loop_.timers().cancel(call.timer);
+    DbReply reply = line->reply;
+    if (!line->calls.empty()) send_first(id, line);
+    call.done(reply);
+  }
+}
+
+void DbCaller::fail(const InstanceId& id, const LinePtr& line, DbReply::Kind kind) {
+  auto it = lines_.find(id);
+  if (it != lines_.end() && it->second == line) lines_.erase(it);
+  if (line->conn) line->conn->close();
+  auto calls = std::move(line->calls);
+  line->calls.clear();
+  for (auto& c : calls) loop_.timers().cancel(c.timer);
+  for (auto& c : calls) c.done({kind, {}});
+}
+
+void DbCaller::expire() {
+  for (auto it = lines_.begin(); it != lines_.end();) {
+    auto& l = it->second;
+    if (l->calls.empty() && loop_.now() - l->used > kPlatformTimeoutMs * 3) {
+      if (l->conn) {
+        l->conn->send("CLOSE\r\n");
+        l->conn->close_after_flush();
+      }
+      it = lines_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/harbourmaster/db_caller.h
@@ -0,0 +1,40 @@
+// The core's own statements to databases: INFO, PAUSE, CONTINUE, STEPDOWN over short-lived connections.
+#pragma once
+#include <map>
+#include <memory>
+
+#include "duty/failover.h"
+#include "keel/line_conn.h"
+#include "keel/loop.h"
+
+namespace pebblespindle {
+
+class DbCaller {
+ public:
+  explicit DbCaller(Loop& loop) : loop_(loop) {}
+  void ask(const Instance& to, const std::string& statement, std::function<void(duty::DbReply)> done);
+  void expire();  // closes connections that have not been used for a while
+
+ private:
+  struct Call {
+    std::string statement;
+    std::function<void(duty::DbReply)> done;
+    Timers::Id timer = 0;
+  };
+  struct Line {
+    LineConn::Ptr conn;
+    bool ready = false;
+    std::vector<Call> calls;  // the first is under way
+    duty::DbReply reply;
+    Millis used = 0;
+  };
+  using LinePtr = std::shared_ptr<Line>;
+  void connect(const Instance& to, const LinePtr& line);
+  void on_line(const InstanceId& id, const LinePtr& line, std::string_view text);
+  void send_first(const InstanceId& id, const LinePtr& line);
+  void fail(const InstanceId& id, const LinePtr& line, duty::DbReply::Kind kind);
+  Loop& loop_;
+  std::map<InstanceId, LinePtr> lines_;
+};
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/harbourmaster/harbourmaster.h
@@ -0,0 +1,93 @@
+// The core's process: joins chain, registry, roster and duty to sockets and the disk.
+#pragma once
+#include <map>
+#include <memory>
+
+#include "chain/node.h"
+#include "duty/failover.h"
+#include "duty/lease.h"
+#include "harbourmaster/db_caller.h"
+#include "keel/http.h"
+#include "keel/line_conn.h"
+#include "keel/log.h"
+#include "keel/loop.h"
+#include "ledger/sqlite_disk.h"
+#include "roster/roster.h"
+
+namespace pebblespindle {
+
+class Harbourmaster : public chain::Outlet {
+ public:
+  Harbourmaster(Settings settings, std::unique_ptr<SqliteDisk> disk);
+  int run();
+
+  // chain::Outlet
+  void send(const std::string& to, const Json& message) override;
+  chain::Verdict judge(const Ledger& ledger, const Json& update) override { return judge_update(ledger, update); }
+  void committed(std::uint64_t number) override;
+  void disk_failed() override;
+  void note(const std::string& sentence) override { log_.say(sentence); }
+
+ private:
+  struct Peer {  // another core: this side's connection to it
+    Endpoint at;
+    LineConn::Ptr conn;
+    bool dialling = false;
+    std::string zone;
+    std::uint64_t acked = 0;   // by all nodes it gave leases to
+    std::size_t nodes = 0;
+    Millis told = -100000;
+  };
+  struct Tender {
+    LineConn::Ptr conn;
+    std::string node, zone;
+    std::uint64_t sent = 0;
+    bool greeted = false;
+  };
+  static chain::Verdict judge_update(const Ledger& ledger, const Json& update);
+
+  // links
+  void accept_inner(asio::ip::tcp::socket socket);
+  void on_inner(const std::shared_ptr<Tender>& link, std::string_view line);
+  void on_core(const std::string& from, const Json& m);
+  void on_tender(const std::shared_ptr<Tender>& t, const Json& m);
+  void dial(const std::string& name);
+  void feed(Tender& t);
+  void feed_all();
+  void tell_peers(bool always);
+  Json core_list() const;
+
+  // control plane
+  void on_http(HttpRequest r, HttpDone done);
+  void on_beat(const std::string& id, const HttpRequest& r, HttpDone done);
+  void on_config(const HttpRequest& r, HttpDone done);
+  std::string beat_answer(const Instance& i) const;
+  Json status() const;
+
+  void tick();
+  bool may_grant() const;
+  bool all_acknowledged(std::uint64_t number) const;
+  void on_suspect(const InstanceId& id, const std::string& zone, bool refused);
+
+  Log log_{"harbourmaster"};
+  Settings settings_;
+  Loop loop_;
+  std::unique_ptr<SqliteDisk> disk_;
+  std::unique_ptr<chain::Node> node_;
+  std::unique_ptr<duty::Lease> lease_;
+  std::unique_ptr<duty::Failover> failover_;
+  DbCaller db_{loop_};
+  Roster roster_;
+  std::map<std::string, Peer> peers_;  // by core name, which is its address
+  std::map<std::shared_ptr<Tender>, bool> tenders_;
+  std::unique_ptr<Acceptor> inner_;
+  std::unique_ptr<HttpServer> control_;
+  std::uint64_t told_acked_ = 0;
+  std::size_t told_nodes_ = 0;
+  Millis told_at_ = 0, view_since_ = 0;
+  std::uint64_t view_seen_ = 0;
+  bool held_duty_ = false;
+  std::map<InstanceId, std::uint64_t> calls_;  // newest CallCount met here
+};
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/http.h
@@ -0,0 +1,40 @@
+// A small HTTP/1.1 server and client on the http-parser library, for control calls only.
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "keel/line_conn.h"
+
+namespace pebblespindle {
+
+struct HttpRequest {
+  std::string method, path, body;
+  std::map<std::string, std::string> headers;  // names in lower case
+};
+
+struct HttpReply {
+  int status = 200;
+  std::string body;
+  std::map<std::string, std::string> headers;
+};
+
+using HttpDone = std::function<void(HttpReply)>;
+using HttpHandler = std::function<void(HttpRequest, HttpDone)>;
+
+class HttpServer {
+ public:
+  static Outcome<std::unique_ptr<HttpServer>> listen(asio::io_context& io, const Endpoint& at, HttpHandler h);
+  void close() { acceptor_->close(); }
+
+ private:
+  std::unique_ptr<Acceptor> acceptor_;
+};
+
+// Calls done once: with the reply, or with status 0 when there was none in time.
+void http_call(asio::io_context& io, const Endpoint& to, const HttpRequest& request, Millis timeout_ms,
+               std::function<void(HttpReply)> done);
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/line_conn.cc
@@ -0,0 +1,208 @@
+#include "keel/line_conn.h"
+
+#include <netinet/tcp.h>
+
+#include "keel/constants.h"
+
+namespace pebblespindle {
+
+using asio::ip::tcp;
+
+void set_silence_limit(tcp::socket& socket, Millis ms) {
+  asio::error_code ignored;
+  int value = int(ms);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
+LineConn::LineConn(tcp::socket socket, std::size_t max_line)
+    : socket_(std::move(socket)), max_line_(max_line) {
+  asio::error_code ignored;
+  socket_.non_blocking(true, ignored);
+  socket_.set_option(tcp::no_delay(true), ignored);
+}
+
+void LineConn::connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, std::size_t max_line,
+                       std::function<void(Ptr, const asio::error_code&)> done) {
+  asio::error_code ec;
+  auto address = asio::ip::make_address(to.host, ec);
+  auto conn = std::make_shared<LineConn>(tcp::socket(io), max_line);
+  if (!ec) conn->socket_.open(tcp::v4(), ec);
+  if (ec) {
+    asio::post(io, [done, ec] { done(nullptr, ec); });
+    return;
+  }
+  conn->socket_.non_blocking(true, ec);
+  auto timer = std::make_shared<asio::steady_timer>(io, std::chrono::milliseconds(timeout_ms));
+  timer->async_wait([conn](const asio::error_code& e) {
+    asio::error_code ignored;
+    if (!e) conn->socket_.close(ignored);
+  });
+  conn->socket_.async_connect(tcp::endpoint(address, to.port), [conn, timer, done](const asio::error_code& e) {
+    timer->cancel();
+    if (e) return done(nullptr, e);
+    asio::error_code ignored;
+    conn->socket_.set_option(tcp::no_delay(true), ignored);
+    done(conn, e);
+  });
+}
+
+void LineConn::start(Handlers h) {
+  h_ = std::move(h);
+  started_ = true;
+  wait_read();
+}
+
+void LineConn::wait_read() {
+  if (!open_ || reading_ || paused_) return;
+  reading_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const asio::error_code& ec) {
+    self->reading_ = false;
+    if (!self->open_) return;
+    if (ec) return self->end(End::kReset);
+    self->on_readable();
+  });
+}
+
+void LineConn::on_readable() {
+  static char chunk[constants::kReadChunkBytes];
+  asio::error_code ec;
+  std::size_t n = socket_.read_some(asio::buffer(chunk), ec);
+  if (ec == asio::error::would_block || ec == asio::error::try_again) return wait_read();
+  if (ec) return end(ec == asio::error::eof ? End::kClosed : End::kReset);
+  auto self = shared_from_this();
+  std::string_view data(chunk, n);
+  std::string joined;  // the handlers may read on other connections, so the chunk is not used past them
+  joined.reserve(in_.size() + n);
+  joined.append(in_).append(data);
+  in_.clear();
+  std::size_t from = 0;
+  for (;;) {
+    auto nl = joined.find('\n', from);
+    if (nl == std::string::npos) break;
+    std::string_view line(joined.data() + from, nl - from);
+    from = nl + 1;
+    if (line.size() > max_line_) return end(End::kTooLong);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    h_.on_line(line);
+    if (!open_) return;
+  }
+  if (joined.size() - from > max_line_) return end(End::kTooLong);
+  if (from < joined.size()) {
+    in_.assign(joined, from);
+  } else {
+    in_.shrink_to_fit();
+  }
+  if (h_.on_batch) h_.on_batch();
+  if (open_) wait_read();
+}
+
+void LineConn::send(std::string_view bytes) {
+  if (!open_ || closing_) return;
+  out_.append(bytes);
+  if (writing_ || flush_posted_) return;
+  flush_posted_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->flush_posted_ = false;
+    self->flush();
+  });
+}
+
+void LineConn::flush() {
+  if (!open_ || writing_) return;
+  if (out_.empty()) {
+    if (closing_) close();
+    return;
+  }
+  asio::error_code ec;
+  std::size_t n = socket_.write_some(asio::buffer(out_), ec);
+  if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return end(End::kReset);
+  if (n == out_.size()) {
+    out_ = std::string();
+    if (closing_) close();
+    return;
+  }
+  flight_ = out_.substr(n);
+  out_ = std::string();
+  writing_ = true;
+  asio::async_write(socket_, asio::buffer(flight_),
+                    [self = shared_from_this()](const asio::error_code& e, std::size_t) {
+                      self->writing_ = false;
+                      self->flight_ = std::string();
+                      if (!self->open_) return;
+                      if (e) return self->end(End::kReset);
+                      self->flush();
+                    });
+}
+
+void LineConn::end(End why) {
+  if (!open_) return;
+  auto on_end = std::move(h_.on_end);
+  close();
+  if (on_end) on_end(why);
+}
+
+void LineConn::close() {
+  if (!open_) return;
+  open_ = false;
+  asio::error_code ignored;
+  socket_.close(ignored);
+  // Handlers may hold what holds this connection; let go of them, but not under a running one.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->h_ = {}; });
+}
+
+void LineConn::close_after_flush() {
+  if (!open_) return;
+  closing_ = true;
+  if (!writing_ && !flush_posted_) flush();
+}
+
+void LineConn::pause(bool paused) {
+  if (paused_ == paused) return;
+  paused_ = paused;
+  if (!paused_ && started_) wait_read();
+}
+
+std::string LineConn::peer_host() const {
+  asio::error_code ec;
+  auto e = socket_.remote_endpoint(ec);
+  return ec ? std::string() : e.address().to_string();
+}
+
+Outcome<std::unique_ptr<Acceptor>> Acceptor::listen(asio::io_context& io, const Endpoint& at,
+                                                    std::function<void(tcp::socket)> on_socket) {
+  using Out = Outcome<std::unique_ptr<Acceptor>>;
+  std::unique_ptr<Acceptor> a(new Acceptor(io, std::move(on_socket)));
+  asio::error_code ec;
+  auto address = asio::ip::make_address(at.host, ec);
+  if (ec) return Out::fail("not an address: " + at.host);
+  auto& s = a->acceptor_;
+  s.open(tcp::v4(), ec);
+  if (!ec) s.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) s.bind(tcp::endpoint(address, at.port), ec);
+  if (!ec) s.listen(1024, ec);
+  if (ec) return Out::fail("cannot listen at " + at.text() + ": " + ec.message());
+  a->accept();
+  return Out::ok(std::move(a));
+}
+
+void Acceptor::accept() {
+  acceptor_.async_accept([this](const asio::error_code& ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) return;
+    if (ec) {  // out of descriptors or the like: pause, then go on
+      retry_.expires_after(std::chrono::milliseconds(constants::kReconnectMs));
+      retry_.async_wait([this](const asio::error_code& e) {
+        if (!e) accept();
+      });
+      return;
+    }
+    on_socket_(std::move(socket));
+    accept();
+  });
+}
+
+void Acceptor::close() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/line_conn.h
@@ -0,0 +1,67 @@
+// A TCP connection that carries lines. Reads and writes are buffered; a slow reader stops its writer.
+#pragma once
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "keel/settings.h"
+
+namespace pebblespindle {
+
+class LineConn : public std::enable_shared_from_this<LineConn> {
+ public:
+  using Ptr = std::shared_ptr<LineConn>;
+  enum class End { kClosed, kReset, kTooLong };
+  struct Handlers {
+    std::function<void(std::string_view line)> on_line;  // without its CR LF
+    std::function<void(End)> on_end;                     // once, unless closed from this side
+    std::function<void()> on_batch;                      // after the lines of one read
+  };
+
+  LineConn(asio::ip::tcp::socket socket, std::size_t max_line);
+  static void connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, std::size_t max_line,
+                      std::function<void(Ptr, const asio::error_code&)> done);
+
+  void start(Handlers h);
+  void send(std::string_view bytes);
+  void close();              // at once; no more callbacks
+  void close_after_flush();  // what was sent is written first
+  bool open() const { return open_; }
+  std::size_t queued() const { return out_.size() + flight_.size(); }
+  void pause(bool paused);   // stops reading while paused
+  std::string peer_host() const;
+
+ private:
+  void wait_read();
+  void on_readable();
+  void flush();
+  void end(End why);
+  asio::ip::tcp::socket socket_;
+  std::size_t max_line_;
+  Handlers h_;
+  std::string in_, out_, flight_;
+  bool open_ = true, started_ = false, reading_ = false, writing_ = false, flush_posted_ = false;
+  bool paused_ = false, closing_ = false;
+};
+
+// Accepts connections for as long as it lives.
+class Acceptor {
+ public:
+  static Outcome<std::unique_ptr<Acceptor>> listen(asio::io_context& io, const Endpoint& at,
+                                                   std::function<void(asio::ip::tcp::socket)> on_socket);
+  void close();
+
+ private:
+  Acceptor(asio::io_context& io, std::function<void(asio::ip::tcp::socket)> on_socket)
+      : acceptor_(io), retry_(io), on_socket_(std::move(on_socket)) {}
+  void accept();
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  std::function<void(asio::ip::tcp::socket)> on_socket_;
+};
+
+// Peers that fall silent are noticed by the kernel within this time.
+void set_silence_limit(asio::ip::tcp::socket& socket, Millis ms);
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/loop.cc
@@ -0,0 +1,63 @@
+#include "keel/loop.h"
+
+#include <chrono>
+
+namespace pebblespindle {
+
+Loop::Loop() = default;
+
+Millis Loop::now() const {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+}
+
+void Loop::on_signal(int number, std::function<void()> fn) {
+  signals_.add(number);
+  bool first = handlers_.empty();
+  handlers_[number] = std::move(fn);
+  if (first) wait_signal();
+}
+
+void Loop::wait_signal() {
+  signals_.async_wait([this](const asio::error_code& ec, int number) {
+    if (ec) return;
+    auto it = handlers_.find(number);
+    if (it != handlers_.end()) it->second();
+    wait_signal();
+    rearm();
+  });
+}
+
+void Loop::every(Millis period, std::function<void()> fn) {
+  timers_.at(now() + period, [this, period, fn] {
+    fn();
+    every(period, fn);
+  });
+  rearm();
+}
+
+void Loop::rearm() {
+  auto next = timers_.next();
+  if (!next) {
+    if (armed_for_ >= 0) kernel_timer_.cancel();
+    armed_for_ = -1;
+    return;
+  }
+  // A timer that fires early only finds nothing due and re-arms: an earlier arming is left alone.
+  if (armed_for_ >= 0 && armed_for_ <= *next) return;
+  armed_for_ = *next;
+  kernel_timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::milliseconds(*next)));
+  kernel_timer_.async_wait([this](const asio::error_code& ec) {
+    if (ec) return;
+    armed_for_ = -1;
+    timers_.run(now());
+    rearm();
+  });
+}
+
+void Loop::run() {
+  rearm();
+  io_.run();
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/loop.h
@@ -0,0 +1,33 @@
+// The event loop of a process: one thread, real time, signals, and the timers of its parts.
+#pragma once
+#include <asio.hpp>
+#include <functional>
+
+#include "keel/timers.h"
+
+namespace pebblespindle {
+
+class Loop {
+ public:
+  Loop();
+  Millis now() const;
+  asio::io_context& io() { return io_; }
+  Timers& timers() { return timers_; }
+  void on_signal(int number, std::function<void()> fn);
+  void every(Millis period, std::function<void()> fn);
+  // Re-arms the one kernel timer; called after anything that may have set an earlier timer.
+  void rearm();
+  void run();
+  void stop() { io_.stop(); }
+
+ private:
+  void wait_signal();
+  asio::io_context io_{1};
+  asio::steady_timer kernel_timer_{io_};
+  asio::signal_set signals_{io_};
+  std::map<int, std::function<void()>> handlers_;
+  Timers timers_;
+  Millis armed_for_ = -1;
+};
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/registry.cc
@@ -0,0 +1,10 @@
+#include "keel/registry.h"
+
+namespace pebblespindle {
+
+std::map<std::string, Command>& commands() {
+  static std::map<std::string, Command> all;
+  return all;
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/schema.h
@@ -0,0 +1,26 @@
+// Checks JSON documents against JSON schemas (valijson).
+#pragma once
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "keel/types.h"
+
+namespace pebblespindle {
+
+using Json = nlohmann::json;
+
+// A schema, compiled once and used often.
+class Schema {
+ public:
+  explicit Schema(const char* text);
+  // Empty when the document fits, else one line saying what is wrong.
+  std::string check(const Json& document) const;
+
+ private:
+  std::shared_ptr<void> compiled_;
+};
+
+Outcome<Json> parse_json(std::string_view text);
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/settings.cc
@@ -0,0 +1,104 @@
+#include "keel/settings.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace pebblespindle {
+namespace {
+
+const char* kSchema = R"({
+  "type": "object",
+  "required": ["NodeName", "IpAddress", "Zone", "Listeners", "InternalPortRange", "SeedNodes"],
+  "properties": {
+    "NodeName": {"type": "string", "minLength": 1},
+    "IpAddress": {"type": "string", "minLength": 7},
+    "Zone": {"type": "string", "minLength": 1},
+    "Listeners": {"type": "object", "additionalProperties": {"type": "string"}},
+    "InternalPortRange": {"type": "array", "minItems": 2, "maxItems": 2,
+                          "items": {"type": "integer", "minimum": 1, "maximum": 65535}},
+    "SeedNodes": {"type": "array", "minItems": 1, "items": {"type": "string"}},
+    "Bootstrap": {"type": "boolean"},
+    "DataDirectory": {"type": ["string", "null"]},
+    "HeartbeatMs": {"type": "number", "minimum": 1},
+    "Limits": {"type": "object"},
+    "Bounds": {"type": "object"},
+    "PlatformApi": {"type": ["object", "null"]}
+  }
+})";
+
+}  // namespace
+
+std::optional<Endpoint> Endpoint::parse(std::string_view s) {
+  auto colon = s.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return std::nullopt;
+  Endpoint e{std::string(s.substr(0, colon)), 0};
+  auto r = std::from_chars(s.data() + colon + 1, s.data() + s.size(), e.port);
+  if (r.ec != std::errc() || r.ptr != s.data() + s.size() || e.port == 0) return std::nullopt;
+  return e;
+}
+
+Outcome<Settings> read_settings(std::string_view text) {
+  using Out = Outcome<Settings>;
+  auto parsed = parse_json(text);
+  if (!parsed) return Out::fail(parsed.reason);
+  const Json& j = *parsed.value;
+  static const Schema schema(kSchema);
+  if (auto wrong = schema.check(j); !wrong.empty()) return Out::fail(wrong);
+  Settings s;
+  s.node_name = j["NodeName"];
+  s.ip = j["IpAddress"];
+  s.zone = j["Zone"];
+  for (auto& [name, address] : j["Listeners"].items()) {
+    auto e = Endpoint::parse(address.get<std::string>());
+    if (!e) return Out::fail("Listeners." + name + ": not an address with a port");
+    s.listeners[name] = *e;
+  }
+  s.inner_first = j["InternalPortRange"][0];
+  s.inner_last = j["InternalPortRange"][1];
+  if (s.inner_last < s.inner_first + 1) return Out::fail("InternalPortRange: wants two ports or more");
+  for (auto& seed : j["SeedNodes"]) {
+    auto e = Endpoint::parse(seed.get<std::string>());
+    if (!e) return Out::fail("SeedNodes: not an address with a port: " + seed.get<std::string>());
+    s.seeds.push_back(*e);
+  }
+  s.bootstrap = j.value("Bootstrap", false);
+  if (j.contains("DataDirectory") && j["DataDirectory"].is_string()) s.data_directory = j["DataDirectory"];
+  if (j.contains("HeartbeatMs")) s.heartbeat_ms = Millis(j["HeartbeatMs"].get<double>());
+  const Json bounds = j.value("Bounds", Json::object());
+  auto number = [](const Json& o, const char* name, double fallback) {
+    return o.contains(name) && o[name].is_number() ? o[name].get<double>() : fallback;
+  };
+  s.drain_ms = Millis(number(bounds, "DrainMs", double(s.drain_ms)));
+  s.grace_ms = Millis(number(bounds, "GracePeriodS", double(s.grace_ms) / 1000.0) * 1000.0);
+  const Json limits = j.value("Limits", Json::object());
+  s.max_open_files = int(number(limits, "MaxOpenFiles", 1024));
+  if (j.contains("PlatformApi") && j["PlatformApi"].is_object() && j["PlatformApi"].contains("Address") &&
+      j["PlatformApi"]["Address"].is_string()) {
+    s.platform = Endpoint::parse(j["PlatformApi"]["Address"].get<std::string>());
+    if (!s.platform) return Out::fail("PlatformApi.Address: not an address with a port");
+  }
+  return Out::ok(std::move(s));
+}
+
+Outcome<std::string> read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return Outcome<std::string>::fail("cannot open " + path);
+  std::ostringstream all;
+  all << in.rdbuf();
+  return Outcome<std::string>::ok(all.str());
+}
+
+Outcome<Settings> load_settings(const std::string& path) {
+  auto text = read_file(path);
+  if (!text) return Outcome<Settings>::fail(text.reason);
+  return read_settings(*text.value);
+}
+
+std::string settings_path() {
+  const char* p = std::getenv("PEBBLESPINDLE_SETTINGS");
+  return p && *p ? p : "/etc/pebblespindle/local.json";
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/keel/settings.h
@@ -0,0 +1,40 @@
+// The settings file of a process: read, checked, and turned into types.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "keel/schema.h"
+
+namespace pebblespindle {
+
+struct Endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+  auto operator<=>(const Endpoint&) const = default;
+  std::string text() const { return host + ":" + std::to_string(port); }
+  static std::optional<Endpoint> parse(std::string_view s);
+};
+
+struct Settings {
+  std::string node_name, zone, ip;
+  std::map<std::string, Endpoint> listeners;
+  std::uint16_t inner_first = 0, inner_last = 0;
+  std::vector<Endpoint> seeds;
+  bool bootstrap = false;
+  std::string data_directory;
+  Millis heartbeat_ms = 1000;
+  Millis drain_ms = 7000, grace_ms = 6000;
+  int max_open_files = 0;
+  std::optional<Endpoint> platform;
+
+  Endpoint inner() const { return {ip, inner_first}; }                    // cores and tenders meet here
+  Endpoint feed() const { return {"127.0.0.1", std::uint16_t(inner_first + 1)}; }  // tender feeds its berth
+};
+
+Outcome<Settings> read_settings(std::string_view text);
+Outcome<Settings> load_settings(const std::string& path);
+std::string settings_path();  // from PEBBLESPINDLE_SETTINGS
+Outcome<std::string> read_file(const std::string& path);
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/ordinance/ordinance.h
@@ -0,0 +1,16 @@
+// What the head of the chain decides about an offered update: pure, a function of the state alone.
+#pragma once
+#include "chain/node.h"
+#include "ordinance/records.h"
+
+namespace pebblespindle {
+
+Json config_update(std::uint64_t base, const std::string& body);
+Json instance_update(const Instance& i);
+Json leave_update(const InstanceId& id);
+// Replaces the lead of a service only if it still stands as expected (empty: none yet).
+Json lead_update(const std::string& service, const std::string& expected, const Lead& next);
+
+chain::Verdict judge_update(const Ledger& ledger, const Json& update);
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/ordinance/records.h
@@ -0,0 +1,65 @@
+// The records of the control state: how configuration, databases and services stand in the ledger.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "keel/schema.h"
+#include "keel/settings.h"
+
+namespace pebblespindle {
+
+enum class RouteType { kPrimary, kBounded, kReadYourWrites };
+
+struct Route {
+  std::string name, hostname, service;
+  RouteType type = RouteType::kPrimary;
+  Millis timeout_ms = 1000, target_ms = 100, stale_ms = 0;
+  int priority = 1, max_attempts = 2;
+};
+
+struct ServiceSpec {
+  std::string name;
+  int max_connections = 16;
+  int sync_replicas = 0;
+};
+
+struct Configuration {
+  std::uint64_t revision = 0;
+  std::map<std::string, Route> routes;  // by host name
+  std::map<std::string, ServiceSpec> services;
+  Millis transaction_idle_ms = 3000;
+};
+
+// Reads and checks a configuration as the operator sends it.
+Outcome<Configuration> read_configuration(std::string_view text);
+
+struct Instance {
+  InstanceId id;
+  std::string service, zone;
+  Endpoint address;
+  int capacity = 1;
+  bool draining = false, primary = false;
+  std::uint64_t calls = 0;
+  Json json() const;
+  static std::optional<Instance> from(const InstanceId& id, const std::string& text);
+  bool same_but_calls(const Instance& o) const;
+};
+// Reads and checks a beat.
+Outcome<Instance> read_beat(const std::string& id, std::string_view body);
+
+// Who leads a service, and whether the lead is being handed over.
+struct Lead {
+  InstanceId primary;
+  bool hold = false;     // suspended: no node sends it anything on primary routes
+  bool planned = false;  // the old primary is alive and leaves in order
+  std::uint64_t term = 0;
+  Json json() const;
+  static std::optional<Lead> from(const std::string& text);
+};
+
+inline const std::string kConfigKey = "c";
+inline std::string instance_key(const InstanceId& id) { return "i/" + id.value; }
+inline std::string lead_key(const std::string& service) { return "s/" + service; }
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/roster/roster.cc
@@ -0,0 +1,33 @@
+#include "roster/roster.h"
+
+#include <algorithm>
+
+#include "keel/constants.h"
+
+namespace pebblespindle {
+using namespace constants;
+
+void Roster::renew(Millis now, const std::string& node, const std::string& zone, std::uint64_t acked, bool granted) {
+  auto& e = nodes_[node];
+  e.zone = zone;
+  e.acked = acked;  // a restarted node starts again from what it holds now
+  if (granted) e.until = now + kNodeLeaseMs + kDriftMarginMs;
+}
+
+void Roster::expire(Millis now) {
+  std::erase_if(nodes_, [&](auto& n) { return n.second.until <= now; });
+}
+
+std::uint64_t Roster::acknowledged(Millis now, std::uint64_t all) const {
+  if (now < born_ + kNodeLeaseMs + kDriftMarginMs) return 0;
+  std::uint64_t least = all;
+  for (auto& [name, e] : nodes_)
+    if (e.until > now) least = std::min(least, e.acked);
+  return least;
+}
+
+std::size_t Roster::count(Millis now) const {
+  return std::size_t(std::count_if(nodes_.begin(), nodes_.end(), [&](auto& n) { return n.second.until > now; }));
+}
+
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/shore/commands.cc
@@ -0,0 +1,77 @@
+// The commands of the shore: check a file, ask for the status, tell the version.
+#include <iostream>
+
+#include "keel/constants.h"
+#include "keel/http.h"
+#include "keel/registry.h"
+#include "ordinance/records.h"
+
+namespace pebblespindle {
+namespace {
+
+// Settings and configurations are told apart by what only a configuration has.
+int run_check(const std::string& file) {
+  if (file.empty()) {
+    std::cerr << "check: names no file\n";
+    return 2;
+  }
+  auto text = read_file(file);
+  if (!text) {
+    std::cerr << "check: " << text.reason << "\n";
+    return 1;
+  }
+  auto parsed = parse_json(*text.value);
+  bool configuration = parsed && parsed.value->is_object() && parsed.value->contains("Revision");
+  std::string wrong = parsed ? std::string() : parsed.reason;
+  if (wrong.empty()) wrong = configuration ? read_configuration(*text.value).reason : read_settings(*text.value).reason;
+  if (wrong.empty()) {
+    std::cout << file << ": a valid " << (configuration ? "configuration" : "settings file") << "\n";
+    return 0;
+  }
+  std::cerr << file << ": " << wrong << "\n";
+  return 1;
+}
+
+int run_status(const std::string& address) {
+  std::vector<Endpoint> cores;
+  if (!address.empty()) {
+    auto e = Endpoint::parse(address);
+    if (!e) {
+      std::cerr << "status: not an address with a port: " << address << "\n";
+      return 2;
+    }
+    cores.push_back(*e);
+  } else {
+    auto settings = load_settings(settings_path());
+    if (!settings) {
+      std::cerr << "status: " << settings.reason << "\n";
+      return 1;
+    }
+    cores = settings.value->seeds;
+  }
+  for (auto& core : cores) {
+    asio::io_context io;
+    HttpReply reply;
+    http_call(io, core, {"GET", "/status", "", {}}, constants::kPlatformTimeoutMs,
+              [&reply](HttpReply r) { reply = std::move(r); });
+    io.run();
+    if (reply.status == 200) {
+      std::cout << reply.body;
+      return 0;
+    }
+    std::cerr << "status: no answer from " << core.text() << "\n";
+  }
+  return 1;
+}
+
+int run_version(const std::string&) {
+  std::cout << "pebblespindle " << PEBBLESPINDLE_VERSION << "\n";
+  return 0;
+}
+
+RegisterCommand check_command("check", {"checks a settings or configuration file", "file", run_check});
+RegisterCommand status_command("status", {"prints what a core knows", "address", run_status});
+RegisterCommand version_command("version", {"prints the version", "", run_version});
+
+}  // namespace
+}  // namespace pebblespindle
