--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -62,21 +62,22 @@
     clients_.erase(it);
   }
   void open_server(ConnId id, const Endpoint& at) override {
-    LineConn::connect(loop_.io(), at, kServerConnectMs, kMaxMessageBytes,
-                      [this, id](LineConn::Ptr conn, const asio::error_code& ec) {
-                        touch();
-                        opening_.erase(id);
-                        bool abandoned = abandoned_.erase(id) > 0;
-                        if (!conn) {
-                          engine_.server_down(id, ec == asio::error::connection_refused ||
-                                                      ec == asio::error::connection_reset, false);
-                        } else if (abandoned) {
-                          conn->close();
-                        } else {
-                          start_server(id, conn);
-                        }
-                        loop_.rearm();
-                      });
+    LineConn::connect(
+        loop_.io(), at, kServerConnectMs, kMaxMessageBytes,
+        [this, id](LineConn::Ptr conn, const asio::error_code& ec) {
+          touch();
+          opening_.erase(id);
+          bool abandoned = abandoned_.erase(id) > 0;
+          if (!conn) {
+            engine_.server_down(
+                id, ec == asio::error::connection_refused || ec == asio::error::connection_reset, false);
+          } else if (abandoned) {
+            conn->close();
+          } else {
+            start_server(id, conn);
+          }
+          loop_.rearm();
+        });
     opening_.insert(id);
   }
   void to_server(ConnId id, std::string bytes) override {
@@ -202,7 +203,8 @@
       if (!rows) return;
       bool was = engine_.ready();
       engine_.feed(m.value("k", std::uint64_t(0)), *rows.value);
-      if (!was && engine_.ready()) log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
+      if (!was && engine_.ready())
+        log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
       renew();
     } else if (t == "grant") {
       engine_.lease(m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs,
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -17,7 +17,9 @@
   return it == servers_.end() ? nullptr : &it->second;
 }
 
-void Engine::client_open(SessionId id) { sessions_[id].id = id; }
+void Engine::client_open(SessionId id) {
+  sessions_[id].id = id;
+}
 
 void Engine::client_line(SessionId id, std::string_view line) {
   Session* s = find(id);
@@ -56,7 +58,8 @@
   if (s) drop(id);
 }
 
-// Ends a session from this side or after its client has gone. Whatever runs for it ends at the database first.
+// Ends a session from this side or after its client has gone. Whatever runs for it ends at the database
+// first.
 void Engine::drop(SessionId id) {
   Session* s = find(id);
   if (!s) return;
@@ -65,17 +68,19 @@
   ConnId conn = s->conn;
   sessions_.erase(id);
   port_.end_client(id);
-  if (Server* c = server(conn)) {
-    c->session = 0;
-    if (c->stage == Server::Stage::kIdle) {
-      if (c->in_tx)
-        next_step(*c);
-      else
-        give_back(*c);
-    } else {
-      c->script.clear();
-    }
+  if (Server* c = server(conn)) orphan(*c);
+}
+
+// A connection whose session has no more use for it: it ends what it does, within a bound, and goes back.
+void Engine::orphan(Server& c) {
+  c.session = 0;
+  if (c.stage == Server::Stage::kIdle) {
+    if (c.in_tx) return next_step(c);
+    return give_back(c);
   }
+  c.script.clear();
+  timers_.cancel(c.timer);
+  c.timer = timers_.at(now_ + kServerConnectMs, [this, id = c.id] { server_down(id, false, false); });
 }
 
 void Engine::pump(Session& session) {
@@ -143,7 +148,8 @@
     if (!room && !s.values.count(name)) return fail(s, "MALFORMED", "too many values in one session");
     s.values[name] = std::string(st.rest);
   } else if (st.verb == Verb::kPrepare) {
-    if (!room && !s.prepared.count(name)) return fail(s, "MALFORMED", "too many prepared names in one session");
+    if (!room && !s.prepared.count(name))
+      return fail(s, "MALFORMED", "too many prepared names in one session");
     s.prepared[name] = {st.read_only, std::string(st.rest)};
   } else {
     if (s.prepared.erase(name) == 0) return fail(s, "NOTFOUND", name);
@@ -179,16 +185,7 @@
   if (state == 'I') s.route = nullptr;
   ConnId conn = s.conn;
   s.conn = 0;
-  Server* c = server(conn);
-  if (!c) return;
-  c->session = 0;
-  if (c->stage != Server::Stage::kIdle) {
-    c->script.clear();
-  } else if (c->in_tx) {
-    next_step(*c);
-  } else {
-    give_back(*c);
-  }
+  if (Server* c = server(conn)) orphan(*c);
 }
 
 // Rests too long, or its database has gone: the next statement learns of it.
@@ -250,7 +247,9 @@
   s.busy = false;
 }
 
-void Engine::leave() { leaving_ = true; }
+void Engine::leave() {
+  leaving_ = true;
+}
 
 void Engine::close_idle() {
   closing_idle_ = true;
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -51,9 +51,9 @@
   bool ready() const { return chart_.fed() && !leaving_; }
   std::uint64_t acknowledged() const;  // the change whose effect is complete here
   bool leaving() const { return leaving_; }
-  void leave();                        // unready; serves on for a while
-  void close_idle();                   // sessions that rest end now, the others when they are done
-  void abort_open();                   // open transactions end now
+  void leave();       // unready; serves on for a while
+  void close_idle();  // sessions that rest end now, the others when they are done
+  void abort_open();  // open transactions end now
   std::size_t sessions() const { return sessions_.size(); }
   const Chart& chart() const { return chart_; }
 
@@ -68,17 +68,17 @@
     std::string id, text;
     wire::Verb verb = wire::Verb::kBad;
     bool read = false;
-    std::string prepared_key;   // kind and shape of an EXECUTE
+    std::string prepared_key;  // kind and shape of an EXECUTE
     std::string execute_rest;
     int attempts = 0;
     Millis began = 0, sent_at = 0, deadline = 0;
-    bool sent = false;          // the statement itself is at a database
+    bool sent = false;  // the statement itself is at a database
     std::vector<InstanceId> tried;
-    std::string rows;           // of the answer
-    Position require;           // WAITFOR of this try
+    std::string rows;  // of the answer
+    Position require;  // WAITFOR of this try
     Timers::Id timer = 0, patience = 0, wait = 0;
-    InstanceId queued_at;       // waits for a connection to it
-    std::string held_for;       // waits for the lead of this service
+    InstanceId queued_at;  // waits for a connection to it
+    std::string held_for;  // waits for the lead of this service
   };
   struct Session {
     SessionId id = 0;
@@ -145,6 +145,7 @@
   void end_work(Session& s);
   void end_transaction(Session& s, char state);
   void drop(SessionId id);
+  void orphan(Server& c);
   void lose_transaction(Session& s);
 
   // routing
@@ -194,7 +195,7 @@
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnId, Server> servers_;
   std::map<InstanceId, Pool> pools_;
-  std::map<std::string, Freshness> fresh_;      // by service
+  std::map<std::string, Freshness> fresh_;             // by service
   std::map<std::string, std::deque<SessionId>> held_;  // by service
   std::map<std::string, Millis> suspended_since_;
   std::map<std::string, std::uint64_t> shape_names_;
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr int kTimeIsOver = 1 << 20;  // attempts: more than any route allows
+
 bool not_run(std::string_view code) {
   return code == "THROTTLED" || code == "LAGGING" || code == "READONLY" || code == "WRONGNODE" ||
          code == "CONNLIMIT" || code == "NOTFOUND";
@@ -48,7 +50,8 @@
     c.script.push_back(begin);
   }
   auto& p = pools_[c.instance];
-  Millis patience = std::max<Millis>(kHedgeFloorMs, Millis(kHedgeFactor * (p.latency + p.deviation)));
+  Millis patience = std::max<Millis>(p.latency == 0 ? kHedgeUnknownMs : kHedgeFloorMs,
+                                     Millis(kHedgeFactor * (p.latency + p.deviation)));
   timers_.cancel(w.patience);
   w.patience = timers_.at(now_ + patience, [this, id = s.id] {
     if (Session* x = find(id)) {
@@ -146,6 +149,7 @@
     if (idle.state != 'I') return drop_server(c.id, false);
     return give_back(c);
   }
+  if (!find(c.session)) timers_.cancel(c.timer);
   if (c.stage == Server::Stage::kStatement) return statement_done(c, idle);
   // setup
   if (!c.error_code.empty() || !c.completed) return setup_failed(c, idle.state);
@@ -212,8 +216,10 @@
   }
   if (idle.position) {
     if (c.observing) fresh_[c.service].observe(w.sent_at, *idle.position);
-    s->vector = LVector(*idle.position);  // replaced by the executing database's, as the paper has it
-    s->vector_service = c.service;
+    if (c.error_code.empty()) {  // a result: replaced by the executing database's, as the paper has it
+      s->vector = LVector(*idle.position);
+      s->vector_service = c.service;
+    }
   }
   std::string code = std::move(c.error_code), text = std::move(c.error_text);
   bool tx = s->state == 'T';
@@ -267,8 +273,8 @@
   }
   if (Session* x = find(sid)) {
     const Lead* l = chart_.lead(c.service);
-    if (state == 'T' && l && l->hold && suspended_since_.count(c.service) && suspended_since_[c.service] < 0 &&
-        l->primary == c.instance)
+    if (state == 'T' && l && l->hold && suspended_since_.count(c.service) &&
+        suspended_since_[c.service] < 0 && l->primary == c.instance)
       lose_transaction(*x);
     pump(*x);
   }
@@ -297,8 +303,9 @@
     end_transaction(s, verb == Verb::kCommit ? 'I' : 'E');
     answer(s, wire::error("ABORTED", "the database was lost and nothing of the transaction is kept"));
   } else {
-    fail(s, "THROTTLED", "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms / 2 : 50) +
-                             " no database could run it");
+    fail(s, "THROTTLED",
+         "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms / 2 : 50) +
+             " no database could run it");
   }
   if (Session* x = find(id)) pump(*x);
 }
@@ -312,7 +319,16 @@
   Pool& p = pools_[c->instance];
   if (p.last_answer < s->work.sent_at && ++p.silent >= kSilentReports) port_.suspect(c->instance, false);
   Work& w = s->work;
-  bool movable = s->state != 'T' || !s->tx_touched;
+  bool tx = s->state == 'T';
+  bool movable = !tx || !s->tx_touched;
+  if (tx && w.verb != Verb::kCommit && !(w.read && movable && may_retry(*s))) {
+    // Its COMMIT has not been asked for, so closing the connection undoes it: the client may begin anew.
+    ConnId conn = s->conn;
+    s->conn = 0;
+    drop_server(conn, false);
+    w.attempts = kTimeIsOver;
+    return work_lost(*s, true);
+  }
   if (!w.read || !movable || !may_retry(*s)) return;
   // A read may run twice: try it elsewhere, or there again on another connection.
   ConnId conn = s->conn;
@@ -329,15 +345,14 @@
   Session* s = find(id);
   if (!s || !s->work.active) return;
   bool sent = s->work.sent && s->conn;
-  if (!sent) return refuse(*s, "THROTTLED", "no database could run it in time");
   ConnId conn = s->conn;
   s->conn = 0;
   if (Server* c = server(conn)) {
     if (pools_[c->instance].last_answer < s->work.sent_at) port_.suspect(c->instance, false);
-    c->session = 0;
+    drop_server(conn, false);
   }
-  drop_server(conn, false);
-  s->work.attempts = 1000;  // the time is over
+  if (!sent) return refuse(*s, "THROTTLED", "no database could run it in time");
+  s->work.attempts = kTimeIsOver;
   work_lost(*s, true);
 }
 
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -34,7 +34,8 @@
       if (!l->hold) {
         suspended_since_.erase(service);
         auto old = leads_before.find(service);
-        if (old != leads_before.end() && old->second.primary != l->primary) pools_[l->primary].avoid_until = 0;
+        if (old != leads_before.end() && old->second.primary != l->primary)
+          pools_[l->primary].avoid_until = 0;
         release_held(service);
         continue;
       }
--- a/src/chain/node.cc
+++ b/src/chain/node.cc
@@ -23,7 +23,9 @@
   return it->template get<T>();
 }
 
-std::uint64_t number(const Json& m, const char* name) { return field<std::uint64_t>(m, name, 0); }
+std::uint64_t number(const Json& m, const char* name) {
+  return field<std::uint64_t>(m, name, 0);
+}
 
 }  // namespace
 
@@ -66,13 +68,15 @@
   return std::uint64_t(it - founders_.begin());
 }
 
-bool Node::may_vote() const { return remembers_ && std::find(founders_.begin(), founders_.end(), self_) != founders_.end(); }
+bool Node::may_vote() const {
+  return remembers_ && std::find(founders_.begin(), founders_.end(), self_) != founders_.end();
+}
 
 // Everything durable but the rows is small; it is written whole with each batch.
 bool Node::save(Batch b) {
-  Json d{{"founders", founders_}, {"pi", promised_.instance}, {"pb", promised_.ballot},
-         {"ai", accepted_.instance}, {"ab", accepted_.ballot}, {"synced", synced_},
-         {"remembers", remembers_}, {"forgot", forgot_until_}};
+  Json d{{"founders", founders_},    {"pi", promised_.instance}, {"pb", promised_.ballot},
+         {"ai", accepted_.instance}, {"ab", accepted_.ballot},   {"synced", synced_},
+         {"remembers", remembers_},  {"forgot", forgot_until_}};
   if (accepted_view_) d["av"] = accepted_view_->json();
   b.meta["durable"] = d.dump();
   b.meta["view"] = view_.json().dump();
@@ -204,7 +208,8 @@
   while (next->members[place].name != self_) ++place;
   if (now < last_proposal_ + kProposalRetryMs * Millis(1 + place)) return;
   last_proposal_ = now;
-  ballot_ = std::max(ballot_, promised_.instance == next->number ? promised_.ballot : 0) / 16 * 16 + 16 + index();
+  ballot_ =
+      std::max(ballot_, promised_.instance == next->number ? promised_.ballot : 0) / 16 * 16 + 16 + index();
   proposing_ = next->number;
   proposal_ = *next;
   accepting_ = false;
@@ -321,7 +326,8 @@
   Json o = Json::array();
   for (auto& x : origins_)
     if (x.number > base && x.status == 200) o.push_back(Json::array({x.number, x.core, x.id}));
-  Json m{{"t", "up"}, {"n", view_.number}, {"base", base}, {"k", ledger_.stored()}, {"r", rows_to_json(rows)}};
+  Json m{
+      {"t", "up"}, {"n", view_.number}, {"base", base}, {"k", ledger_.stored()}, {"r", rows_to_json(rows)}};
   if (!o.empty()) m["o"] = o;
   last_progress_ = now;
   out_.send(next, m);
@@ -439,7 +445,8 @@
   done(std::move(a));
 }
 
-void Node::read(Millis now, const std::string& key, std::function<void(std::optional<std::string>, bool)> done) {
+void Node::read(Millis now, const std::string& key,
+                std::function<void(std::optional<std::string>, bool)> done) {
   std::uint64_t id = ++last_id_;
   reads_[id] = {key, std::move(done), now};
   Json m{{"t", "read"}, {"id", id}, {"key", key}};
@@ -487,7 +494,8 @@
   if (t == "dec") {
     auto v = View::from(m.value("view", Json()));
     if (!v) return;
-    if (!remembers_ && view_.number == 0 && m.contains("f")) founders_ = m["f"].get<std::vector<std::string>>();
+    if (!remembers_ && view_.number == 0 && m.contains("f"))
+      founders_ = m["f"].get<std::vector<std::string>>();
     decide(now, *v);
   }
 }
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -28,8 +28,8 @@
   virtual ~Outlet() = default;
   virtual void send(const CoreName& to, const Json& message) = 0;
   virtual Verdict judge(const Ledger& ledger, const Json& update) = 0;  // pure; run at the head
-  virtual void committed(std::uint64_t number) = 0;                    // committed() rose
-  virtual void disk_failed() = 0;                                      // a sync failed: stop this process
+  virtual void committed(std::uint64_t number) = 0;                     // committed() rose
+  virtual void disk_failed() = 0;                                       // a sync failed: stop this process
   virtual void note(const std::string& sentence) = 0;
 };
 
@@ -40,7 +40,8 @@
   void tick(Millis now);
   void receive(Millis now, const CoreName& from, const Json& message);
   void submit(Millis now, Json update, std::function<void(Answer)> done);
-  void read(Millis now, const std::string& key, std::function<void(std::optional<std::string>, bool ok)> done);
+  void read(Millis now, const std::string& key,
+            std::function<void(std::optional<std::string>, bool ok)> done);
 
   const View& view() const { return view_; }
   const Ledger& ledger() const { return ledger_; }
@@ -116,9 +117,9 @@
   Ballot promised_;
   Ballot accepted_;
   std::optional<View> accepted_view_;
-  std::uint64_t synced_ = 0;       // the view whose state this core holds in full
-  bool remembers_ = true;          // false: the disk was lost; abstains until let in anew
-  std::uint64_t forgot_until_ = 0; // the view in force when this core came back without its disk
+  std::uint64_t synced_ = 0;        // the view whose state this core holds in full
+  bool remembers_ = true;           // false: the disk was lost; abstains until let in anew
+  std::uint64_t forgot_until_ = 0;  // the view in force when this core came back without its disk
   Ledger ledger_;
 
   // of this life only
--- a/src/chain/view.cc
+++ b/src/chain/view.cc
@@ -27,12 +27,14 @@
 }
 
 std::optional<View> View::from(const Json& j) {
-  if (!j.is_object() || !j.contains("n") || !j["n"].is_number_unsigned() || !j.contains("m") || !j["m"].is_array())
+  if (!j.is_object() || !j.contains("n") || !j["n"].is_number_unsigned() || !j.contains("m") ||
+      !j["m"].is_array())
     return std::nullopt;
   View v;
   v.number = j["n"];
   for (auto& e : j["m"]) {
-    if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned()) return std::nullopt;
+    if (!e.is_array() || e.size() != 2 || !e[0].is_string() || !e[1].is_number_unsigned())
+      return std::nullopt;
     v.members.push_back({e[0], e[1]});
   }
   return v;
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -51,7 +51,8 @@
 void Failover::told(Millis now, const Instance& i) {
   now_ = now;
   auto job = jobs_.find(i.service);
-  if (job != jobs_.end() && job->second.step == Step::kAwaiting && i.primary && job->second.successor == i.id) {
+  if (job != jobs_.end() && job->second.step == Step::kAwaiting && i.primary &&
+      job->second.successor == i.id) {
     job->second.told = true;
     tick(now);
   }
@@ -83,9 +84,8 @@
       const Row* row = ledger_.find(instance_key(l->primary));
       auto primary = row ? Instance::from(l->primary, row->value) : std::nullopt;
       auto all = members(service);
-      bool successor = std::any_of(all.begin(), all.end(), [&](const Instance& i) {
-        return i.id != l->primary && !i.draining;
-      });
+      bool successor = std::any_of(all.begin(), all.end(),
+                                   [&](const Instance& i) { return i.id != l->primary && !i.draining; });
       if (!successor) return;
       if (!primary) return begin(now, service, *l, false, "the primary has left");
       if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
@@ -112,7 +112,8 @@
         auto current = this->lead(service);
         if (current && !current->hold && current->primary == lead.primary && out_.holds())
           begin(now_, service, *current, false,
-                reply.kind == DbReply::Kind::kRefused ? "the primary refuses connections" : "the primary is silent");
+                reply.kind == DbReply::Kind::kRefused ? "the primary refuses connections"
+                                                      : "the primary is silent");
       });
       return;
     }
@@ -136,7 +137,8 @@
   }
 }
 
-void Failover::begin(Millis now, const std::string& service, const Lead& l, bool planned, const std::string& why) {
+void Failover::begin(Millis now, const std::string& service, const Lead& l, bool planned,
+                     const std::string& why) {
   auto& job = jobs_[service];
   const Row* row = ledger_.find(lead_key(service));
   if (!row) return;
@@ -195,7 +197,8 @@
     if (r.kind != DbReply::Kind::kRow) continue;
     newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
     if (id == l->primary && r.info.primary) old_term = r.info.term;
-    if (id != l->primary && r.info.primary && r.info.term > leader_term) leader = id, leader_term = r.info.term;
+    if (id != l->primary && r.info.primary && r.info.term > leader_term)
+      leader = id, leader_term = r.info.term;
   }
   if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
   bool alive = old_term > 0;
@@ -284,12 +287,14 @@
   out_.ask(*i, "INFO", [this, service, round](DbReply r) {
     auto& j = jobs_[service];
     if (j.round != round) return;
-    if (r.kind == DbReply::Kind::kRow && r.info.primary) return announce(now_, service, j, j.successor, r.info.term);
+    if (r.kind == DbReply::Kind::kRow && r.info.primary)
+      return announce(now_, service, j, j.successor, r.info.term);
     again(now_, j);
   });
 }
 
-void Failover::announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term) {
+void Failover::announce(Millis now, const std::string& service, Job& job, const InstanceId& id,
+                        std::uint64_t term) {
   const Row* row = ledger_.find(lead_key(service));
   auto l = lead(service);
   if (!row || !l) return;
@@ -297,20 +302,19 @@
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
   out_.note("Failover of " + service + ": " + id.value + " leads term " + std::to_string(term) + ".");
-  out_.submit(lead_update(service, row->value, Lead{id, false, false, term}),
-              [this, service, round, old, id, term](chain::Answer) {
-                auto& j = jobs_[service];
-                if (j.round != round) return;
-                auto current = lead(service);
-                if (!current || current->hold) return again(now_, j);
-                for (auto& i : members(service)) {
-                  if (i.id == id) continue;
-                  out_.ask(i, i.id == old ? "STEPDOWN " + std::to_string(term) : std::string("CONTINUE"),
-                           [](DbReply) {});
-                }
-                j = Job{};
-                reports_.clear();
-              });
+  out_.submit(lead_update(service, row->value, Lead{id, false, false, term}), [this, service, round, old, id,
+                                                                               term](chain::Answer) {
+    auto& j = jobs_[service];
+    if (j.round != round) return;
+    auto current = lead(service);
+    if (!current || current->hold) return again(now_, j);
+    for (auto& i : members(service)) {
+      if (i.id == id) continue;
+      out_.ask(i, i.id == old ? "STEPDOWN " + std::to_string(term) : std::string("CONTINUE"), [](DbReply) {});
+    }
+    j = Job{};
+    reports_.clear();
+  });
   (void)now;
 }
 
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -21,7 +21,8 @@
   struct Out {
     std::function<bool()> holds;  // the duty lease, read right before each step that needs it
     std::function<void(const Instance&, const std::string& statement, std::function<void(DbReply)>)> ask;
-    std::function<void(const std::string& service, const InstanceId&, std::function<void(int status)>)> promote;
+    std::function<void(const std::string& service, const InstanceId&, std::function<void(int status)>)>
+        promote;
     std::function<void(Json update, std::function<void(chain::Answer)>)> submit;
     std::function<bool(std::uint64_t number)> all_acknowledged;  // by every node with a live lease
     std::function<void(const std::string&)> note;
@@ -69,8 +70,8 @@
   void announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term);
   void abandon(Millis now, const std::string& service, Job& job);
   void again(Millis now, Job& job);
-  void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom, const std::string& statement,
-               std::function<void()> then);
+  void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom,
+               const std::string& statement, std::function<void()> then);
   int sync_replicas(const std::string& service) const;
 
   const Ledger& ledger_;
--- a/src/duty/lease.h
+++ b/src/duty/lease.h
@@ -17,7 +17,11 @@
   };
   Lease(std::string self, std::vector<std::string> cores, std::uint64_t token, std::string holder, Millis now,
         Out out)
-      : self_(std::move(self)), cores_(std::move(cores)), out_(std::move(out)), born_(now), token_(token),
+      : self_(std::move(self)),
+        cores_(std::move(cores)),
+        out_(std::move(out)),
+        born_(now),
+        token_(token),
         holder_(std::move(holder)) {}
 
   // Called often; a core that wants the duty asks and renews, others only grant.
@@ -37,7 +41,7 @@
   std::uint64_t token_ = 0;  // newest granted here; durable
   std::string holder_;
   Millis granted_until_ = 0;
-  std::uint64_t mine_ = 0;   // the token this core asks with
+  std::uint64_t mine_ = 0;  // the token this core asks with
   Millis held_until_ = 0, next_ask_ = 0;
   std::map<std::string, Millis> grants_;
 };
--- a/src/harbourmaster/db_caller.cc
+++ b/src/harbourmaster/db_caller.cc
@@ -13,9 +13,8 @@
   LinePtr l = line;
   l->used = loop_.now();
   l->calls.push_back({statement, std::move(done), 0});
-  l->calls.back().timer = loop_.timers().at(loop_.now() + kInfoTimeoutMs, [this, id = to.id, l] {
-    fail(id, l, DbReply::Kind::kSilent);
-  });
+  l->calls.back().timer = loop_.timers().at(loop_.now() + kInfoTimeoutMs,
+                                            [this, id = to.id, l] { fail(id, l, DbReply::Kind::kSilent); });
   loop_.rearm();
   if (fresh)
     connect(to, l);
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -18,12 +18,14 @@
     : settings_(std::move(settings)), disk_(std::move(disk)), roster_(loop_.now()) {
   std::vector<std::string> founders;
   for (auto& s : settings_.seeds) founders.push_back(s.host);
-  node_ = std::make_unique<chain::Node>(settings_.ip, founders, settings_.bootstrap, *disk_, *this, loop_.now());
+  node_ =
+      std::make_unique<chain::Node>(settings_.ip, founders, settings_.bootstrap, *disk_, *this, loop_.now());
   auto meta = disk_->meta();
   Json duty = Json::parse(meta.count("duty") ? meta["duty"] : "{}", nullptr, false);
   if (!duty.is_object()) duty = Json::object();
   lease_ = std::make_unique<duty::Lease>(
-      settings_.ip, node_->founders(), duty.value("token", std::uint64_t(0)), duty.value("holder", ""), loop_.now(),
+      settings_.ip, node_->founders(), duty.value("token", std::uint64_t(0)), duty.value("holder", ""),
+      loop_.now(),
       duty::Lease::Out{[this](const std::string& to, const Json& m) { send(to, m); },
                        [this](std::uint64_t token, const std::string& holder) {
                          Batch b;
@@ -39,7 +41,9 @@
   };
   out.promote = [this](const std::string& service, const InstanceId& id, std::function<void(int)> done) {
     if (!settings_.platform) return done(503);
-    HttpRequest r{"POST", "/failovers", Json{{"TargetService", service}, {"InstanceId", id.value}}.dump(),
+    HttpRequest r{"POST",
+                  "/failovers",
+                  Json{{"TargetService", service}, {"InstanceId", id.value}}.dump(),
                   {{"Content-Type", "application/json"},
                    {"X-Pebblespindle-Duty-Holder", settings_.node_name},
                    {"X-Pebblespindle-Fence-Token", std::to_string(lease_->token())}}};
@@ -76,8 +80,9 @@
     log_.say("The settings name no ControlPlane listener.");
     return 1;
   }
-  auto http = HttpServer::listen(loop_.io(), at->second,
-                                 [this](HttpRequest r, HttpDone done) { on_http(std::move(r), std::move(done)); });
+  auto http = HttpServer::listen(loop_.io(), at->second, [this](HttpRequest r, HttpDone done) {
+    on_http(std::move(r), std::move(done));
+  });
   if (!http) {
     log_.say(http.reason);
     return 1;
@@ -125,17 +130,18 @@
 void Harbourmaster::dial(const std::string& name) {
   auto& p = peers_[name];
   p.dialling = true;
-  LineConn::connect(loop_.io(), p.at, kCoreSilentMs, kMaxLinkBytes,
-                    [this, name](LineConn::Ptr conn, const asio::error_code&) {
-                      auto& peer = peers_[name];
-                      peer.dialling = false;
-                      if (!conn) return;
-                      peer.conn = conn;
-                      conn->start({[](std::string_view) {}, [this, name](LineConn::End) { peers_[name].conn = nullptr; },
-                                   {}});
-                      conn->send(Json{{"t", "core"}, {"name", settings_.ip}, {"zone", settings_.zone}}.dump() + "\n");
-                      told_at_ = 0;
-                    });
+  LineConn::connect(
+      loop_.io(), p.at, kCoreSilentMs, kMaxLinkBytes,
+      [this, name](LineConn::Ptr conn, const asio::error_code&) {
+        auto& peer = peers_[name];
+        peer.dialling = false;
+        if (!conn) return;
+        peer.conn = conn;
+        conn->start(
+            {[](std::string_view) {}, [this, name](LineConn::End) { peers_[name].conn = nullptr; }, {}});
+        conn->send(Json{{"t", "core"}, {"name", settings_.ip}, {"zone", settings_.zone}}.dump() + "\n");
+        told_at_ = 0;
+      });
 }
 
 void Harbourmaster::send(const std::string& to, const Json& message) {
@@ -155,8 +161,7 @@
   t->conn = std::make_shared<LineConn>(std::move(socket), kMaxLinkBytes);
   tenders_[t] = false;
   t->conn->start({[this, t](std::string_view line) { on_inner(t, line); },
-                  [this, t](LineConn::End) { tenders_.erase(t); },
-                  [this] { loop_.rearm(); }});
+                  [this, t](LineConn::End) { tenders_.erase(t); }, [this] { loop_.rearm(); }});
 }
 
 void Harbourmaster::on_inner(const std::shared_ptr<Tender>& link, std::string_view line) {
@@ -205,7 +210,9 @@
   }
 }
 
-bool Harbourmaster::may_grant() const { return node_->seated(loop_.now()); }
+bool Harbourmaster::may_grant() const {
+  return node_->seated(loop_.now());
+}
 
 Json Harbourmaster::core_list() const {
   Json l = Json::array({Json::array({settings_.ip, settings_.zone})});
@@ -231,8 +238,11 @@
       std::size_t members = roster_.count(now);
       for (auto& [name, p] : peers_)
         if (now - p.told < 3 * kCoreSilentMs) members += p.nodes;
-      t->conn->send(Json{{"t", "grant"}, {"at", m.value("at", Json())}, {"ms", kNodeLeaseMs},
-                         {"k", node_->ledger().stored()}, {"n", members}}
+      t->conn->send(Json{{"t", "grant"},
+                         {"at", m.value("at", Json())},
+                         {"ms", kNodeLeaseMs},
+                         {"k", node_->ledger().stored()},
+                         {"n", members}}
                         .dump() +
                     "\n");
     }
@@ -263,8 +273,10 @@
 void Harbourmaster::feed(Tender& t) {
   // Only whole, committed states go out: between two changes of a row there is nothing to send.
   if (!t.greeted || !node_->settled() || t.sent >= node_->committed()) return;
-  t.conn->send(Json{{"t", "up"}, {"k", node_->committed()}, {"r", rows_to_json(node_->ledger().since(t.sent))}}.dump() +
-               "\n");
+  t.conn->send(
+      Json{{"t", "up"}, {"k", node_->committed()}, {"r", rows_to_json(node_->ledger().since(t.sent))}}
+          .dump() +
+      "\n");
   t.sent = node_->committed();
 }
 
@@ -288,7 +300,8 @@
     auto l = Lead::from(r.value);
     holding = holding || (l && l->hold);
   });
-  bool due = always || now >= told_at_ + kCoreSilentMs || nodes != told_nodes_ || (holding && acked != told_acked_);
+  bool due =
+      always || now >= told_at_ + kCoreSilentMs || nodes != told_nodes_ || (holding && acked != told_acked_);
   if (!due) return;
   told_at_ = now;
   told_acked_ = acked;
@@ -354,7 +367,8 @@
 std::string Harbourmaster::beat_answer(const Instance& i) const {
   // Later beats go to the core in the database's own zone: no bytes between zones.
   auto port = settings_.listeners.at("ControlPlane").port;
-  if (i.zone == settings_.zone) return Json{{"HeartbeatEndpoint", settings_.listeners.at("ControlPlane").text()}}.dump();
+  if (i.zone == settings_.zone)
+    return Json{{"HeartbeatEndpoint", settings_.listeners.at("ControlPlane").text()}}.dump();
   for (auto& [name, p] : peers_)
     if (p.zone == i.zone && p.conn && node_->view().has(name))
       return Json{{"HeartbeatEndpoint", Endpoint{name, port}.text()}}.dump();
@@ -421,12 +435,17 @@
     nodes[name] = {{"zone", e.zone}, {"acknowledged", e.acked}, {"lease_ms", e.until - now}};
   node_->ledger().each("i/", [&](const Row& r) {
     Json i = Json::parse(r.value, nullptr, false);
-    databases.push_back({{"id", r.key.substr(2)}, {"service", i["s"]}, {"zone", i["z"]}, {"address", i["a"]},
-                         {"draining", i["d"]}, {"primary", i["p"]}});
+    databases.push_back({{"id", r.key.substr(2)},
+                         {"service", i["s"]},
+                         {"zone", i["z"]},
+                         {"address", i["a"]},
+                         {"draining", i["d"]},
+                         {"primary", i["p"]}});
   });
   node_->ledger().each("s/", [&](const Row& r) {
     auto l = Lead::from(r.value);
-    if (l) leads[r.key.substr(2)] = {{"primary", l->primary.value}, {"suspended", l->hold}, {"term", l->term}};
+    if (l)
+      leads[r.key.substr(2)] = {{"primary", l->primary.value}, {"suspended", l->hold}, {"term", l->term}};
   });
   const Row* c = node_->ledger().find(kConfigKey);
   Json revision;
@@ -465,7 +484,8 @@
   return h.run();
 }
 
-RegisterCommand harbourmaster_command("harbourmaster", {"serves the control plane on a core machine", "", run_harbourmaster});
+RegisterCommand harbourmaster_command("harbourmaster",
+                                      {"serves the control plane on a core machine", "", run_harbourmaster});
 
 }  // namespace
 }  // namespace pebblespindle
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -23,7 +23,9 @@
 
   // chain::Outlet
   void send(const std::string& to, const Json& message) override;
-  chain::Verdict judge(const Ledger& ledger, const Json& update) override { return judge_update(ledger, update); }
+  chain::Verdict judge(const Ledger& ledger, const Json& update) override {
+    return judge_update(ledger, update);
+  }
   void committed(std::uint64_t number) override;
   void disk_failed() override;
   void note(const std::string& sentence) override { log_.say(sentence); }
@@ -34,7 +36,7 @@
     LineConn::Ptr conn;
     bool dialling = false;
     std::string zone;
-    std::uint64_t acked = 0;   // by all nodes it gave leases to
+    std::uint64_t acked = 0;  // by all nodes it gave leases to
     std::size_t nodes = 0;
     Millis told = -100000;
   };
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -6,35 +6,44 @@
 namespace pebblespindle::constants {
 
 // --- wire ---------------------------------------------------------------
-constexpr std::size_t kMaxMessageBytes = 1 << 20;    // bytes; the wire's own bound on a message
-constexpr std::size_t kMaxLinkBytes = 8 << 20;       // bytes; a snapshot on an inner link: several full configurations
-constexpr std::size_t kMaxHttpBodyBytes = 1 << 20;   // bytes; four times the largest configuration body seen
-constexpr std::size_t kMaxHttpHeaderBytes = 16384;   // bytes; ordinary header bound for control calls
-constexpr std::size_t kReadChunkBytes = 16384;       // bytes; one shared read buffer per process, not per socket
-constexpr std::size_t kBackpressureBytes = 262144;   // bytes queued to a slow reader before its peer is not read
+constexpr std::size_t kMaxMessageBytes = 1 << 20;  // bytes; the wire's own bound on a message
+constexpr std::size_t kMaxLinkBytes =
+    8 << 20;  // bytes; a snapshot on an inner link: several full configurations
+constexpr std::size_t kMaxHttpBodyBytes = 1 << 20;  // bytes; four times the largest configuration body seen
+constexpr std::size_t kMaxHttpHeaderBytes = 16384;  // bytes; ordinary header bound for control calls
+constexpr std::size_t kReadChunkBytes = 16384;  // bytes; one shared read buffer per process, not per socket
+constexpr std::size_t kBackpressureBytes =
+    262144;  // bytes queued to a slow reader before its peer is not read
 
 // --- core: view and chain -------------------------------------------------
-constexpr std::int64_t kCoreBeatMs = 250;        // ms; cores in step within a few beats, few bytes between zones
-constexpr std::int64_t kCoreSilentMs = 1000;     // ms; four missed beats: suspect a core, still inside ContactMs
-constexpr std::int64_t kViewLeaseMs = 800;       // ms; three beats; a cut-off core falls silent before it is replaced
-constexpr std::int64_t kDriftMarginMs = 50;      // ms; clock drift and late timers over the longest lease
-constexpr std::int64_t kProposalRetryMs = 300;   // ms; a few round trips and syncs between zones, then a new ballot
-constexpr std::int64_t kJoinStableMs = 600;      // ms; a returning core is heard for two beats before it is let in
-constexpr std::int64_t kSubmitRetryMs = 300;     // ms; an update unanswered this long is offered again
-constexpr std::int64_t kSubmitGiveUpMs = 900;    // ms; callers count a second of silence as a failure
-constexpr std::size_t kTombstonesKept = 2000;    // rows; deletions remembered for deltas; older readers get a snapshot
+constexpr std::int64_t kCoreBeatMs = 250;     // ms; cores in step within a few beats, few bytes between zones
+constexpr std::int64_t kCoreSilentMs = 1000;  // ms; four missed beats: suspect a core, still inside ContactMs
+constexpr std::int64_t kViewLeaseMs =
+    800;  // ms; three beats; a cut-off core falls silent before it is replaced
+constexpr std::int64_t kDriftMarginMs = 50;  // ms; clock drift and late timers over the longest lease
+constexpr std::int64_t kProposalRetryMs =
+    300;  // ms; a few round trips and syncs between zones, then a new ballot
+constexpr std::int64_t kJoinStableMs =
+    600;  // ms; a returning core is heard for two beats before it is let in
+constexpr std::int64_t kSubmitRetryMs = 300;   // ms; an update unanswered this long is offered again
+constexpr std::int64_t kSubmitGiveUpMs = 900;  // ms; callers count a second of silence as a failure
+constexpr std::size_t kTombstonesKept =
+    2000;  // rows; deletions remembered for deltas; older readers get a snapshot
 
 // --- leases of nodes ------------------------------------------------------
-constexpr std::int64_t kNodeLeaseMs = 1500;      // ms; three missed renewals; bounds a failover's wait for a dead node
-constexpr std::int64_t kNodeRenewMs = 450;       // ms; three tries within a lease
-constexpr std::int64_t kCoreSearchMs = 700;      // ms; a tender leaves a core that is silent this long
-constexpr std::int64_t kReconnectMs = 100;       // ms; pause between tries to reach a core or tender
+constexpr std::int64_t kNodeLeaseMs =
+    1500;  // ms; three missed renewals; bounds a failover's wait for a dead node
+constexpr std::int64_t kNodeRenewMs = 450;   // ms; three tries within a lease
+constexpr std::int64_t kCoreSearchMs = 700;  // ms; a tender leaves a core that is silent this long
+constexpr std::int64_t kReconnectMs = 100;   // ms; pause between tries to reach a core or tender
 
 // --- the failover duty ----------------------------------------------------
-constexpr std::int64_t kDutyLeaseMs = 1500;      // ms; six beats, so one lost datagram or stall loses no duty
-constexpr std::int64_t kDutyGuardMs = 300;       // ms; the holder stops this long before its lease ends
-constexpr std::int64_t kInfoTimeoutMs = 400;     // ms; many round trips: silence here is one vote that it is dark
-constexpr std::int64_t kPlatformTimeoutMs = 1000;  // ms; the platform may be slow; then ask the database itself
+constexpr std::int64_t kDutyLeaseMs = 1500;  // ms; six beats, so one lost datagram or stall loses no duty
+constexpr std::int64_t kDutyGuardMs = 300;   // ms; the holder stops this long before its lease ends
+constexpr std::int64_t kInfoTimeoutMs =
+    400;  // ms; many round trips: silence here is one vote that it is dark
+constexpr std::int64_t kPlatformTimeoutMs =
+    1000;                                        // ms; the platform may be slow; then ask the database itself
 constexpr std::int64_t kPromoteCheckMs = 1500;   // ms; without a beat of the new primary, ask it by INFO
 constexpr std::int64_t kPromoteRetryMs = 250;    // ms; pause before another call after 409, 429 or silence
 constexpr std::int64_t kSwitchRetryMs = 400;     // ms; pause before an unfinished switch is taken up again
@@ -46,19 +55,21 @@
 constexpr std::int64_t kFreshMarginMs = 40;      // ms; subtracted from stale_ms for the way to the database
 constexpr std::int64_t kObservationStepMs = 20;  // ms; one kept position per step bounds the ring's memory
 constexpr std::int64_t kObservationKeepMs = 10000;  // ms; no route allows older positions than this
-constexpr std::int64_t kServerConnectMs = 1000;  // ms; a new connection answers within tens of ms when healthy
-constexpr std::int64_t kAvoidMs = 500;           // ms; a database that reset or refused is not tried for this long
+constexpr std::int64_t kServerConnectMs =
+    1000;                               // ms; a new connection answers within tens of ms when healthy
+constexpr std::int64_t kAvoidMs = 500;  // ms; a database that reset or refused is not tried for this long
 constexpr std::int64_t kLaggingAvoidMs = 60;     // ms; a replica that answered LAGGING gets time to apply
 constexpr std::int64_t kDrainGuardMs = 1000;     // ms; stop this long before DrainMs runs out
 constexpr std::int64_t kSwitchDrainMs = 250;     // ms; running work may end at a primary that hands over
 constexpr std::int64_t kIdleShedMs = 20000;      // ms; pooled connections unused this long are closed
 constexpr std::int64_t kHedgeFloorMs = 60;       // ms; no read is given up sooner than this
+constexpr std::int64_t kHedgeUnknownMs = 250;    // ms; the same before any latency has been learned
 constexpr double kHedgeFactor = 6.0;             // times the learned latency before a read is tried elsewhere
 constexpr std::int64_t kUnreadyNoticeMs = 2500;  // ms; the platform asks each second and needs two misses
 constexpr int kConnReservePerDatabase = 4;       // connections left for the core's own calls and for joiners
 constexpr int kMaxSessions = 3500;               // sessions a berth accepts; below its descriptor limit
 constexpr std::size_t kMaxSessionValues = 256;   // values or prepared names one session may hold
-constexpr std::size_t kMaxPreparedPerConn = 200; // prepared shapes on one server connection before RESET
-constexpr int kSilentReports = 2;                // unanswered requests in a row before a database is reported
+constexpr std::size_t kMaxPreparedPerConn = 200;  // prepared shapes on one server connection before RESET
+constexpr int kSilentReports = 2;  // unanswered requests in a row before a database is reported
 
 }  // namespace pebblespindle::constants
--- a/src/keel/http.cc
+++ b/src/keel/http.cc
@@ -80,9 +80,14 @@
 };
 
 const char* reason_of(int status) {
-  for (auto& [code, text] : {std::pair{200, "OK"}, {307, "Temporary Redirect"}, {400, "Bad Request"},
-                             {404, "Not Found"}, {409, "Conflict"}, {412, "Precondition Failed"},
-                             {413, "Payload Too Large"}, {503, "Service Unavailable"}})
+  for (auto& [code, text] : {std::pair{200, "OK"},
+                             {307, "Temporary Redirect"},
+                             {400, "Bad Request"},
+                             {404, "Not Found"},
+                             {409, "Conflict"},
+                             {412, "Precondition Failed"},
+                             {413, "Payload Too Large"},
+                             {503, "Service Unavailable"}})
     if (code == status) return text;
   return "Status";
 }
@@ -125,9 +130,9 @@
   void answer(HttpReply r) {
     if (!r.body.empty() && !r.headers.count("Content-Type")) r.headers["Content-Type"] = "application/json";
     if (close_) r.headers["Connection"] = "close";
-    auto out = std::make_shared<std::string>("HTTP/1.1 " + std::to_string(r.status) + " " +
-                                             reason_of(r.status) + "\r\n" +
-                                             head_fields(r.headers, r.body.size()) + r.body);
+    auto out =
+        std::make_shared<std::string>("HTTP/1.1 " + std::to_string(r.status) + " " + reason_of(r.status) +
+                                      "\r\n" + head_fields(r.headers, r.body.size()) + r.body);
     asio::async_write(socket_, asio::buffer(*out),
                       [self = shared_from_this(), out](const asio::error_code& ec, std::size_t) {
                         if (ec || self->close_) return;
@@ -161,18 +166,20 @@
     d(std::move(r));
   }
   void read() {
-    socket.async_read_some(asio::buffer(chunk), [self = shared_from_this()](const asio::error_code& ec, size_t n) {
-      if (ec) return self->finish({0, "", {}});
-      if (self->in.feed(self->chunk, n) < 0) return self->finish({0, "", {}});
-      if (!self->in.complete) return self->read();
-      self->finish({int(self->in.parser.status_code), self->in.message.body, self->in.message.headers});
-    });
+    socket.async_read_some(
+        asio::buffer(chunk), [self = shared_from_this()](const asio::error_code& ec, size_t n) {
+          if (ec) return self->finish({0, "", {}});
+          if (self->in.feed(self->chunk, n) < 0) return self->finish({0, "", {}});
+          if (!self->in.complete) return self->read();
+          self->finish({int(self->in.parser.status_code), self->in.message.body, self->in.message.headers});
+        });
   }
 };
 
 }  // namespace
 
-Outcome<std::unique_ptr<HttpServer>> HttpServer::listen(asio::io_context& io, const Endpoint& at, HttpHandler h) {
+Outcome<std::unique_ptr<HttpServer>> HttpServer::listen(asio::io_context& io, const Endpoint& at,
+                                                        HttpHandler h) {
   using Out = Outcome<std::unique_ptr<HttpServer>>;
   auto handler = std::make_shared<HttpHandler>(std::move(h));
   auto acceptor = Acceptor::listen(io, at, [handler](tcp::socket s) {
@@ -194,8 +201,8 @@
   auto headers = request.headers;
   headers["Host"] = to.text();
   headers["Connection"] = "close";
-  call->out = request.method + " " + request.path + " HTTP/1.1\r\n" + head_fields(headers, request.body.size()) +
-              request.body;
+  call->out = request.method + " " + request.path + " HTTP/1.1\r\n" +
+              head_fields(headers, request.body.size()) + request.body;
   call->timer.expires_after(std::chrono::milliseconds(timeout_ms));
   call->timer.async_wait([call](const asio::error_code& ec) {
     if (!ec) call->finish({0, "", {}});
--- a/src/keel/line_conn.cc
+++ b/src/keel/line_conn.cc
@@ -37,13 +37,14 @@
     asio::error_code ignored;
     if (!e) conn->socket_.close(ignored);
   });
-  conn->socket_.async_connect(tcp::endpoint(address, to.port), [conn, timer, done](const asio::error_code& e) {
-    timer->cancel();
-    if (e) return done(nullptr, e);
-    asio::error_code ignored;
-    conn->socket_.set_option(tcp::no_delay(true), ignored);
-    done(conn, e);
-  });
+  conn->socket_.async_connect(tcp::endpoint(address, to.port),
+                              [conn, timer, done](const asio::error_code& e) {
+                                timer->cancel();
+                                if (e) return done(nullptr, e);
+                                asio::error_code ignored;
+                                conn->socket_.set_option(tcp::no_delay(true), ignored);
+                                done(conn, e);
+                              });
 }
 
 void LineConn::start(Handlers h) {
--- a/src/keel/line_conn.h
+++ b/src/keel/line_conn.h
@@ -29,7 +29,7 @@
   void close_after_flush();  // what was sent is written first
   bool open() const { return open_; }
   std::size_t queued() const { return out_.size() + flight_.size(); }
-  void pause(bool paused);   // stops reading while paused
+  void pause(bool paused);  // stops reading while paused
   std::string peer_host() const;
 
  private:
--- a/src/keel/settings.h
+++ b/src/keel/settings.h
@@ -28,7 +28,7 @@
   int max_open_files = 0;
   std::optional<Endpoint> platform;
 
-  Endpoint inner() const { return {ip, inner_first}; }                    // cores and tenders meet here
+  Endpoint inner() const { return {ip, inner_first}; }  // cores and tenders meet here
   Endpoint feed() const { return {"127.0.0.1", std::uint16_t(inner_first + 1)}; }  // tender feeds its berth
 };
 
--- a/src/keel/types.cc
+++ b/src/keel/types.cc
@@ -4,7 +4,9 @@
 
 namespace pebblespindle {
 
-std::string Position::text() const { return std::to_string(term) + "." + std::to_string(number); }
+std::string Position::text() const {
+  return std::to_string(term) + "." + std::to_string(number);
+}
 
 std::optional<Position> Position::parse(std::string_view s) {
   Position p;
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -23,7 +23,10 @@
   const Row* find(const std::string& key) const;  // null when absent or gone
   const Row* find_any(const std::string& key) const;
   void put(const Row& row);
-  void clear() { rows_.clear(); stored_ = 0; }
+  void clear() {
+    rows_.clear();
+    stored_ = 0;
+  }
   std::uint64_t stored() const { return stored_; }
   void set_stored(std::uint64_t n) { stored_ = n; }
   std::vector<Row> since(std::uint64_t number) const;  // rows above number, in number order
--- a/src/ledger/sqlite_disk.cc
+++ b/src/ledger/sqlite_disk.cc
@@ -10,7 +10,9 @@
   Prepared(sqlite3* db, const char* sql) { ok_ = sqlite3_prepare_v2(db, sql, -1, &s_, nullptr) == SQLITE_OK; }
   ~Prepared() { sqlite3_finalize(s_); }
   Prepared(const Prepared&) = delete;
-  void text(int i, const std::string& v) { sqlite3_bind_text(s_, i, v.data(), int(v.size()), SQLITE_TRANSIENT); }
+  void text(int i, const std::string& v) {
+    sqlite3_bind_text(s_, i, v.data(), int(v.size()), SQLITE_TRANSIENT);
+  }
   void number(int i, std::uint64_t v) { sqlite3_bind_int64(s_, i, sqlite3_int64(v)); }
   bool row() { return ok_ && sqlite3_step(s_) == SQLITE_ROW; }
   bool done() {
@@ -46,16 +48,20 @@
     Prepared check(db, "PRAGMA quick_check(1)");
     if (!check.row() || check.column(0) != "ok") return Out::fail(path + ": the file is damaged");
   }
-  for (const char* sql :
-       {"CREATE TABLE IF NOT EXISTS rows(key TEXT PRIMARY KEY, value TEXT, number INTEGER, gone INTEGER) WITHOUT ROWID",
-        "CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value TEXT) WITHOUT ROWID"})
+  for (const char* sql : {"CREATE TABLE IF NOT EXISTS rows(key TEXT PRIMARY KEY, value TEXT, number INTEGER, "
+                          "gone INTEGER) WITHOUT ROWID",
+                          "CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value TEXT) WITHOUT ROWID"})
     if (!disk->run(sql)) return Out::fail(path + ": " + sqlite3_errmsg(db));
   return Out::ok(std::move(disk));
 }
 
-SqliteDisk::~SqliteDisk() { sqlite3_close(db_); }
+SqliteDisk::~SqliteDisk() {
+  sqlite3_close(db_);
+}
 
-bool SqliteDisk::run(const char* sql) { return sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK; }
+bool SqliteDisk::run(const char* sql) {
+  return sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK;
+}
 
 bool SqliteDisk::commit(const Batch& b) {
   if (!run("BEGIN")) return false;
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -62,8 +62,12 @@
 Json config_update(std::uint64_t base, const std::string& body) {
   return {{"op", "config"}, {"base", base}, {"body", body}};
 }
-Json instance_update(const Instance& i) { return {{"op", "inst"}, {"id", i.id.value}, {"v", i.json().dump()}}; }
-Json leave_update(const InstanceId& id) { return {{"op", "leave"}, {"id", id.value}}; }
+Json instance_update(const Instance& i) {
+  return {{"op", "inst"}, {"id", i.id.value}, {"v", i.json().dump()}};
+}
+Json leave_update(const InstanceId& id) {
+  return {{"op", "leave"}, {"id", id.value}};
+}
 Json lead_update(const std::string& service, const std::string& expected, const Lead& next) {
   return {{"op", "lead"}, {"s", service}, {"x", expected}, {"v", next.json().dump()}};
 }
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -94,7 +94,8 @@
     route.max_attempts = std::max(1, r.value("MaxAttempts", 1));
     if (!c.services.count(route.service))
       return Out::fail("route " + route.name + " names the unknown service " + route.service);
-    if (!(r["TimeoutMs"].get<double>() > 0)) return Out::fail("route " + route.name + " has a TimeoutMs of 0");
+    if (!(r["TimeoutMs"].get<double>() > 0))
+      return Out::fail("route " + route.name + " has a TimeoutMs of 0");
     if (!places.emplace(route.hostname, r.value("PathPrefix", "/")).second)
       return Out::fail("two routes share the place of route " + route.name);
     c.routes.emplace(route.hostname, route);
@@ -104,8 +105,8 @@
 }
 
 Json Instance::json() const {
-  return {{"s", service}, {"a", address.text()}, {"z", zone},   {"c", capacity},
-          {"d", draining}, {"p", primary},       {"n", calls}};
+  return {{"s", service},  {"a", address.text()}, {"z", zone}, {"c", capacity},
+          {"d", draining}, {"p", primary},        {"n", calls}};
 }
 
 std::optional<Instance> Instance::from(const InstanceId& id, const std::string& text) {
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -59,7 +59,11 @@
 };
 
 inline const std::string kConfigKey = "c";
-inline std::string instance_key(const InstanceId& id) { return "i/" + id.value; }
-inline std::string lead_key(const std::string& service) { return "s/" + service; }
+inline std::string instance_key(const InstanceId& id) {
+  return "i/" + id.value;
+}
+inline std::string lead_key(const std::string& service) {
+  return "s/" + service;
+}
 
 }  // namespace pebblespindle
--- a/src/roster/roster.cc
+++ b/src/roster/roster.cc
@@ -7,7 +7,8 @@
 namespace pebblespindle {
 using namespace constants;
 
-void Roster::renew(Millis now, const std::string& node, const std::string& zone, std::uint64_t acked, bool granted) {
+void Roster::renew(Millis now, const std::string& node, const std::string& zone, std::uint64_t acked,
+                   bool granted) {
   auto& e = nodes_[node];
   e.zone = zone;
   e.acked = acked;  // a restarted node starts again from what it holds now
@@ -27,7 +28,8 @@
 }
 
 std::size_t Roster::count(Millis now) const {
-  return std::size_t(std::count_if(nodes_.begin(), nodes_.end(), [&](auto& n) { return n.second.until > now; }));
+  return std::size_t(
+      std::count_if(nodes_.begin(), nodes_.end(), [&](auto& n) { return n.second.until > now; }));
 }
 
 }  // namespace pebblespindle
--- a/src/shore/commands.cc
+++ b/src/shore/commands.cc
@@ -23,7 +23,8 @@
   auto parsed = parse_json(*text.value);
   bool configuration = parsed && parsed.value->is_object() && parsed.value->contains("Revision");
   std::string wrong = parsed ? std::string() : parsed.reason;
-  if (wrong.empty()) wrong = configuration ? read_configuration(*text.value).reason : read_settings(*text.value).reason;
+  if (wrong.empty())
+    wrong = configuration ? read_configuration(*text.value).reason : read_settings(*text.value).reason;
   if (wrong.empty()) {
     std::cout << file << ": a valid " << (configuration ? "configuration" : "settings file") << "\n";
     return 0;
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -127,8 +127,9 @@
                    if (core_ == conn) drop_core();
                  },
                  [this] { loop_.rearm(); }});
-    conn->send(Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", number_}}.dump() +
-               "\n");
+    conn->send(
+        Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", number_}}.dump() +
+        "\n");
     if (!last_renew_.is_null()) renew(last_renew_);
     loop_.rearm();
   }
--- a/src/wire/wire.cc
+++ b/src/wire/wire.cc
@@ -60,7 +60,8 @@
   Idle i;
   auto state = take(fields);
   auto position = take(fields);
-  if (state.size() != 1 || std::string_view("ITE").find(state[0]) == std::string_view::npos) return std::nullopt;
+  if (state.size() != 1 || std::string_view("ITE").find(state[0]) == std::string_view::npos)
+    return std::nullopt;
   i.state = state[0];
   if (position != "-") {
     i.position = Position::parse(position);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -11,12 +11,23 @@
 // Takes the next blank-separated field off the front of a line.
 std::string_view take(std::string_view& line);
 
-enum class Verb { kBegin, kCommit, kRollback, kFetch, kStore, kConfigure, kPrepare, kExecute, kRelease, kBad };
+enum class Verb {
+  kBegin,
+  kCommit,
+  kRollback,
+  kFetch,
+  kStore,
+  kConfigure,
+  kPrepare,
+  kExecute,
+  kRelease,
+  kBad
+};
 
 struct Statement {
   Verb verb = Verb::kBad;
-  bool read_only = false;          // BEGIN FETCH, or the kind of a PREPARE
-  std::string_view name, rest;     // CONFIGURE, PREPARE, EXECUTE, RELEASE: the name and what follows it
+  bool read_only = false;       // BEGIN FETCH, or the kind of a PREPARE
+  std::string_view name, rest;  // CONFIGURE, PREPARE, EXECUTE, RELEASE: the name and what follows it
 };
 
 Statement parse_statement(std::string_view text);
