--- a/src/chain/node.cc
+++ b/src/chain/node.cc
@@ -125,9 +125,13 @@
       out_of_step_since_.emplace(f, now);
   }
   propose(now);
-  if (in_step() && !tail() && committed_ < ledger_.stored() && now >= last_progress_ + kSubmitRetryMs) {
-    last_progress_ = now;
-    pass_on(now, committed_);
+  if (in_step() && !tail() && now >= last_progress_ + kSubmitRetryMs) {
+    auto next = peer_synced_.find(view_.after(self_));
+    bool waits_for_state = next != peer_synced_.end() && next->second != view_.number;
+    if (waits_for_state)
+      pass_on(now, 0);
+    else if (committed_ < ledger_.stored())
+      pass_on(now, committed_);
   }
   for (auto it = pending_.begin(); it != pending_.end();) {
     auto& [id, p] = *it;
@@ -157,7 +161,9 @@
 }
 
 void Node::beat(Millis now) {
-  spread({{"t", "b"}, {"v", view_.number}, {"s", synced_}, {"at", now}});
+  Json m{{"t", "b"}, {"v", view_.number}, {"s", synced_}, {"at", now}};
+  if (!remembers_ && forgot_until_ > 0) m["m"] = true;
+  spread(m);
 }
 
 void Node::on_beat(Millis now, const CoreName& from, const Json& m) {
@@ -165,14 +171,30 @@
   heard_[from] = now;
   std::uint64_t v = number(m, "v");
   peer_synced_[from] = number(m, "s");
+  peer_mute_[from] = field<bool>(m, "m", false);
+  if (!remembers_ && forgot_until_ == 0) learn_what_was_forgotten(from, v);
   if (v < view_.number) return out_.send(from, {{"t", "dec"}, {"view", view_.json()}, {"f", founders_}});
   bool promised_away = accepted_view_ && accepted_.instance == view_.number + 1 && !accepted_view_->has(from);
-  if (v == view_.number && view_.has(from) && !promised_away && may_vote()) {
+  // A member without the view's state holds no lease: it can be put out at once and let in anew.
+  bool whole = peer_synced_[from] == v;
+  if (v == view_.number && view_.has(from) && whole && !promised_away && may_vote() &&
+      now >= withheld_[from]) {
     granted_[from] = now;
     out_.send(from, {{"t", "a"}, {"v", v}, {"at", m.value("at", Json())}});
   }
 }
 
+// A core that lost its disk may have voted on the view after the newest that the others know. It abstains
+// until a later one is decided; which is the newest, a majority must tell it.
+void Node::learn_what_was_forgotten(const CoreName& from, std::uint64_t v) {
+  peer_view_[from] = v;
+  if (peer_view_.size() < majority()) return;
+  std::uint64_t newest = view_.number;
+  for (auto& [core, number] : peer_view_) newest = std::max(newest, number);
+  forgot_until_ = newest;
+  if (view_.number > 0) save({});
+}
+
 // The view this core would like next, if it would like another.
 std::optional<View> Node::wanted(Millis now) const {
   View next{view_.number + 1, {}};
@@ -185,8 +207,11 @@
       changed = true;
     else
       next.members.push_back(m);
+    // A member that may not vote gets its vote back with the next view.
+    auto mute = peer_mute_.find(m.name);
+    if (mute != peer_mute_.end() && mute->second && !silent) changed = true;
   }
-  if (next.members.size() < majority()) return std::nullopt;
+  if (next.members.empty()) return std::nullopt;
   if (next.members.front().name == self_) {
     for (auto& f : founders_) {
       if (view_.has(f) || heard(f) < 0 || now - heard(f) > kCoreBeatMs * 2) continue;
@@ -195,7 +220,10 @@
       changed = true;
     }
   }
-  if (!changed) return std::nullopt;
+  // A view that was accepted but not decided keeps leases from whom it leaves out: it is seen through.
+  if (accepted_view_ && accepted_.instance == next.number && last_proposal_ + kCoreSilentMs < now)
+    changed = true;
+  if (!changed || next.members.size() < majority()) return std::nullopt;
   return next;
 }
 
@@ -272,7 +300,10 @@
     if (v->has(member.name) || member.name == self_) continue;
     auto g = granted_.find(member.name);
     Millis last = g == granted_.end() ? born_ : std::max(g->second, born_);
-    if (now < last + kViewLeaseMs + kDriftMarginMs) return;
+    if (now < last + kViewLeaseMs + kDriftMarginMs) {
+      withheld_[member.name] = now + 2 * kViewLeaseMs;  // it gets no further lease, so that the end comes
+      return;
+    }
   }
   promised_ = {n, b};
   accepted_ = {n, b};
@@ -293,12 +324,9 @@
 
 void Node::decide(Millis now, const View& v) {
   if (v.number <= view_.number) return;
-  bool kept = view_.has(self_) && remembers_;
   auto* me = v.find(self_);
-  if (!remembers_) {
-    if (forgot_until_ == 0) forgot_until_ = v.number;
-    if (me && me->joined > forgot_until_) remembers_ = true;
-  }
+  // Votes lost with the disk were for this view at the latest: it is closed, so they no longer matter.
+  if (forgot_until_ > 0 && v.number > forgot_until_) remembers_ = true;
   view_ = v;
   leased_from_.clear();
   out_of_step_since_.clear();
@@ -309,7 +337,7 @@
   std::string list;
   for (auto& m : v.members) list += (list.empty() ? "" : ", ") + m.name;
   out_.note("View " + std::to_string(v.number) + ": " + list + ".");
-  if (!kept && !me) origins_.clear();
+  if (!me) origins_.clear();  // what was under way here may never be committed
   last_progress_ = now;
   if (head) {
     if (tail()) return commit_up_to(now, ledger_.stored());
@@ -344,6 +372,7 @@
   Batch b;
   if (joining) {
     ledger_.clear();
+    origins_.clear();
     b.clear_rows = true;
     synced_ = view_.number;
     before = 0;
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -84,6 +84,7 @@
 
   // view agreement
   void propose(Millis now);
+  void learn_what_was_forgotten(const CoreName& from, std::uint64_t v);
   std::optional<View> wanted(Millis now) const;
   void on_prepare(Millis now, const CoreName& from, const Json& m);
   void on_promise(Millis now, const CoreName& from, const Json& m);
@@ -118,14 +119,15 @@
   Ballot accepted_;
   std::optional<View> accepted_view_;
   std::uint64_t synced_ = 0;        // the view whose state this core holds in full
-  bool remembers_ = true;           // false: the disk was lost; abstains until let in anew
-  std::uint64_t forgot_until_ = 0;  // the view in force when this core came back without its disk
+  bool remembers_ = true;           // false: the disk was lost; abstains until a later view
+  std::uint64_t forgot_until_ = 0;  // the newest view in which a lost disk may have held a vote
   Ledger ledger_;
 
   // of this life only
   std::uint64_t committed_ = 0;
-  std::map<CoreName, Millis> heard_, heard_since_, granted_, leased_from_;
-  std::map<CoreName, std::uint64_t> peer_synced_;
+  std::map<CoreName, Millis> heard_, heard_since_, granted_, withheld_, leased_from_;
+  std::map<CoreName, std::uint64_t> peer_synced_, peer_view_;
+  std::map<CoreName, bool> peer_mute_;
   std::map<CoreName, Millis> out_of_step_since_;
   Millis next_beat_ = 0, last_progress_ = 0, last_proposal_ = -100000;
   std::uint64_t ballot_ = 0, proposing_ = 0;
