Failover: databases that come back under a new name, dark ones found sooner

A new instance at an address now ends the row of the former one, and WRONGNODE is taken as proof that it is gone. One INFO is enough while nodes of two zones still miss every answer, and nodes report when answers come again; the survey waits for the replicas only. Also: patience is learned per route from the longest answers of late. Ruled out: overload of the new primary (its slots were half free).

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -98,12 +98,18 @@
     }
     servers_.erase(it);
   }
+  void cleared(const InstanceId& id) override {
+    if (suspected_.erase(id) == 0) return;
+    log_.say("Database " + id.value + " answers again.");
+    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}}.dump() + "\n");
+  }
   void suspect(const InstanceId& id, bool refused) override {
     Millis now = loop_.now();
     auto& last = suspected_[id];
-    if (last != 0 && now - last < kReconnectMs) return;
+    if (last != 0 && now - last < kCoreSilentMs) return;
+    if (last == 0)
+      log_.say("Database " + id.value + (refused ? " refuses connections." : " gives no answers."));
     last = now;
-    log_.say("Database " + id.value + (refused ? " refuses connections." : " gives no answers."));
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"r", refused}}.dump() + "\n");
   }
 
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -24,7 +24,8 @@
   virtual void open_server(ConnId, const Endpoint&) = 0;
   virtual void to_server(ConnId, std::string bytes) = 0;
   virtual void close_server(ConnId, bool orderly) = 0;
-  virtual void suspect(const InstanceId&, bool refused) = 0;
+  virtual void suspect(const InstanceId&, bool refused) = 0;  // refused, or silent
+  virtual void cleared(const InstanceId&) = 0;                // it answers after all
 };
 
 class Engine {
@@ -74,8 +75,9 @@
     Millis began = 0, sent_at = 0, deadline = 0;
     bool sent = false;  // the statement itself is at a database
     std::vector<InstanceId> tried;
-    std::string rows;  // of the answer
-    Position require;  // WAITFOR of this try
+    std::string rows;     // of the answer
+    Position require;     // WAITFOR of this try
+    bool warned = false;  // its patience has run out once
     Timers::Id timer = 0, patience = 0, wait = 0;
     InstanceId queued_at;  // waits for a connection to it
     std::string held_for;  // waits for the lead of this service
@@ -122,11 +124,15 @@
     std::vector<ConnId> idle;
     std::size_t total = 0, opening = 0;
     std::deque<SessionId> waiting;
-    Millis avoid_until = 0, lagging_until = 0, limit_until = 0;
+    Millis lagging_until = 0, limit_until = 0;
+    // Closed off: a trial connection must come up before sessions are sent there again.
+    bool closed_off = false;
+    Millis trial_pause = 0;
     Millis last_answer = 0, drain_since = -1;
     LVector vector;
-    double latency = 0, deviation = 0;
+    std::map<std::string, double> worst;  // by route: the longest answer of late, ms, slowly forgotten
     int silent = 0;
+    bool suspected = false;
   };
   struct Choice {
     enum class Kind { kGo, kHold, kRefuse } kind = Kind::kRefuse;
@@ -166,6 +172,10 @@
   std::size_t share(const InstanceId& id) const;
   void hand_out(const InstanceId& id);
   void give_back(Server& c);
+  void close_off(const InstanceId& id);
+  void try_again(const InstanceId& id);
+  void reopen(const InstanceId& id);
+  Millis patience(const InstanceId& id, const Session& s) const;
   void drop_server(ConnId id, bool orderly);
   void redo_waiting(const InstanceId& id);
 
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -1,6 +1,5 @@
 // Execution: statements on server connections, their answers, and what follows when none comes.
 #include <algorithm>
-#include <cmath>
 
 #include "berth/engine.h"
 
@@ -49,11 +48,9 @@
     if (!w.require.none()) begin = "WAITFOR " + w.require.text() + " " + begin;
     c.script.push_back(begin);
   }
-  auto& p = pools_[c.instance];
-  Millis patience = std::max<Millis>(p.latency == 0 ? kHedgeUnknownMs : kHedgeFloorMs,
-                                     Millis(kHedgeFactor * (p.latency + p.deviation)));
   timers_.cancel(w.patience);
-  w.patience = timers_.at(now_ + patience, [this, id = s.id] {
+  w.warned = false;
+  w.patience = timers_.at(now_ + patience(c.instance, s), [this, id = s.id] {
     if (Session* x = find(id)) {
       x->work.patience = 0;
       on_patience(id);
@@ -62,6 +59,15 @@
   next_step(c);
 }
 
+// How long an answer of this database may take before it is missed.
+Millis Engine::patience(const InstanceId& id, const Session& s) const {
+  auto p = pools_.find(id);
+  if (p == pools_.end()) return kHedgeUnknownMs;
+  auto w = p->second.worst.find(s.route->name);
+  if (w == p->second.worst.end()) return kHedgeUnknownMs;
+  return std::max<Millis>(kHedgeFloorMs, Millis(kHedgeFactor * w->second));
+}
+
 // Sends what comes next on this connection: a setup statement, the client's statement, or a rollback.
 void Engine::next_step(Server& c) {
   c.error_code.clear();
@@ -101,12 +107,22 @@
   auto word = wire::take(rest);
   Pool& p = pools_[c->instance];
   p.last_answer = now_;
+  if (p.suspected) {
+    p.suspected = false;
+    port_.cleared(c->instance);
+  }
   if (!c->greeted) {
     InstanceId instance = c->instance;
     if (word == "IDLE") {
       c->greeted = true;
       timers_.cancel(c->timer);
       if (p.opening > 0) --p.opening;
+      if (p.closed_off || p.trial_pause != 0) {
+        ConnId cid = c->id;
+        reopen(instance);
+        c = server(cid);
+        if (!c) return;
+      }
       if (auto idle = wire::parse_idle(rest); idle && idle->position) p.vector.raise(*idle->position);
       return give_back(*c);
     }
@@ -114,7 +130,7 @@
     if (word == "STMTERR" && code == "CONNLIMIT")
       p.limit_until = now_ + kAvoidMs;
     else
-      p.avoid_until = now_ + kAvoidMs;
+      close_off(instance);
     drop_server(id, false);
     if (p.total == p.opening) redo_waiting(instance);
     return;
@@ -207,13 +223,8 @@
     return next_step(c);
   }
   Work& w = s->work;
-  double took = double(now_ - w.sent_at);
-  if (p.latency == 0) {
-    p.latency = took, p.deviation = took / 2;
-  } else {
-    p.deviation += (std::abs(took - p.latency) - p.deviation) / 8;
-    p.latency += (took - p.latency) / 8;
-  }
+  double& worst = p.worst[s->route->name];
+  worst = std::max(double(now_ - w.sent_at), worst * kWorstDecay);
   if (idle.position) {
     if (c.observing) fresh_[c.service].observe(w.sent_at, *idle.position);
     if (c.error_code.empty()) {  // a result: replaced by the executing database's, as the paper has it
@@ -317,11 +328,28 @@
   Server* c = server(s->conn);
   if (!c) return;
   Pool& p = pools_[c->instance];
-  if (p.last_answer < s->work.sent_at && ++p.silent >= kSilentReports) port_.suspect(c->instance, false);
   Work& w = s->work;
+  InstanceId instance = c->instance;
+  bool silent = p.last_answer < w.sent_at && ++p.silent >= kSilentReports;
+  if (silent) {
+    p.suspected = true;
+    port_.suspect(instance, false);
+  }
   bool tx = s->state == 'T';
   bool movable = !tx || !s->tx_touched;
-  if (tx && w.verb != Verb::kCommit && !(w.read && movable && may_retry(*s))) {
+  bool elsewhere = w.read && movable && may_retry(*s);
+  if (!elsewhere && !w.warned) {
+    w.warned = true;
+    w.patience = timers_.at(now_ + 2 * patience(instance, *s), [this, id] {
+      if (Session* x = find(id)) {
+        x->work.patience = 0;
+        on_patience(id);
+      }
+    });
+    if (silent) close_off(instance);
+    return;
+  }
+  if (tx && w.verb != Verb::kCommit && !elsewhere) {
     // Its COMMIT has not been asked for, so closing the connection undoes it: the client may begin anew.
     ConnId conn = s->conn;
     s->conn = 0;
@@ -329,13 +357,13 @@
     w.attempts = kTimeIsOver;
     return work_lost(*s, true);
   }
-  if (!w.read || !movable || !may_retry(*s)) return;
+  if (!elsewhere) return;
   // A read may run twice: try it elsewhere, or there again on another connection.
   ConnId conn = s->conn;
   s->conn = 0;
-  InstanceId instance = c->instance;
   c->session = 0;
   drop_server(conn, false);
+  if (silent) close_off(instance);
   const Lead* l = chart_.lead(s->route->service);
   if (!l || l->primary != instance) w.tried.push_back(instance);
   attempt(id);
@@ -348,7 +376,10 @@
   ConnId conn = s->conn;
   s->conn = 0;
   if (Server* c = server(conn)) {
-    if (pools_[c->instance].last_answer < s->work.sent_at) port_.suspect(c->instance, false);
+    if (Pool& p = pools_[c->instance]; p.last_answer < s->work.sent_at) {
+      p.suspected = true;
+      port_.suspect(c->instance, false);
+    }
     drop_server(conn, false);
   }
   if (!sent) return refuse(*s, "THROTTLED", "no database could run it in time");
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -34,8 +34,7 @@
       if (!l->hold) {
         suspended_since_.erase(service);
         auto old = leads_before.find(service);
-        if (old != leads_before.end() && old->second.primary != l->primary)
-          pools_[l->primary].avoid_until = 0;
+        if (old != leads_before.end() && old->second.primary != l->primary) reopen(l->primary);
         release_held(service);
         continue;
       }
@@ -57,6 +56,7 @@
             server_down(cid, false, false);
           }
         }
+        if (!planned) close_off(primary);
         auto it = suspended_since_.find(service);
         if (it != suspended_since_.end()) it->second = -1;  // done with
       };
@@ -96,7 +96,7 @@
   auto p = pools_.find(i.id);
   if (p == pools_.end()) return true;
   if (p->second.drain_since >= 0 && now_ >= p->second.drain_since + drain_ms_ - kDrainGuardMs) return false;
-  return now_ >= p->second.avoid_until;
+  return !p->second.closed_off;
 }
 
 Engine::Choice Engine::choose_primary(const std::string& service) {
@@ -330,8 +330,7 @@
   InstanceId instance = c->instance;
   servers_.erase(id);
   port_.close_server(id, orderly);
-  if (p.opening < p.waiting.size() && p.total < share(instance) && now_ >= p.limit_until &&
-      now_ >= p.avoid_until)
+  if (p.opening < p.waiting.size() && p.total < share(instance) && now_ >= p.limit_until && !p.closed_off)
     open(instance);
 }
 
@@ -358,12 +357,10 @@
   bool in_flight = s && s->busy && s->conn == id && c->stage != Server::Stage::kIdle;
   bool sent = in_flight && s->work.sent;
   if (!greeted) {
-    p.avoid_until = now_ + kAvoidMs;
+    p.suspected = true;
     port_.suspect(instance, refused && !silent);
-    timers_.at(p.avoid_until, [this, instance] {
-      const Instance* i = chart_.instance(instance);
-      if (i) release_held(i->service);
-    });
+    p.closed_off = false;  // so that the pause grows
+    close_off(instance);
   }
   SessionId sid = s ? s->id : 0;
   drop_server(id, false);
@@ -378,4 +375,30 @@
   if (!greeted) redo_waiting(instance);
 }
 
+// Sends no session there until a trial connection has come up; trials are spaced further and further.
+void Engine::close_off(const InstanceId& id) {
+  Pool& p = pools_[id];
+  if (p.closed_off) return;
+  p.closed_off = true;
+  p.trial_pause = p.trial_pause == 0 ? kTrialFirstMs : std::min(p.trial_pause * 2, kTrialMostMs);
+  std::vector<ConnId> idle = p.idle;
+  for (auto c : idle) drop_server(c, false);
+  timers_.at(now_ + p.trial_pause, [this, id] { try_again(id); });
+  redo_waiting(id);
+}
+
+void Engine::try_again(const InstanceId& id) {
+  Pool& p = pools_[id];
+  if (!p.closed_off || !chart_.instance(id)) return;
+  open(id);
+}
+
+void Engine::reopen(const InstanceId& id) {
+  Pool& p = pools_[id];
+  p.closed_off = false;
+  p.trial_pause = 0;
+  p.silent = 0;
+  if (const Instance* i = chart_.instance(id)) release_held(i->service);
+}
+
 }  // namespace pebblespindle::berth
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -42,12 +42,26 @@
   job.retry_at = now + kSwitchRetryMs;
 }
 
-void Failover::suspect(Millis now, const InstanceId& id, const std::string& zone, bool refused) {
+void Failover::suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
+                       bool refused) {
   auto& r = reports_[id];
-  r.zones[zone] = now;
+  r.nodes[node] = {zone, now};
   if (refused) r.refused = now;
 }
 
+void Failover::cleared(Millis, const InstanceId& id, const std::string& node) {
+  auto r = reports_.find(id);
+  if (r != reports_.end()) r->second.nodes.erase(node);
+}
+
+std::size_t Failover::zones_missing(const InstanceId& id) {
+  auto& r = reports_[id];
+  std::erase_if(r.nodes, [&](auto& n) { return n.second.second < now_ - kSuspectWindowMs; });
+  std::set<std::string> zones;
+  for (auto& [node, report] : r.nodes) zones.insert(report.first);
+  return zones.size();
+}
+
 void Failover::told(Millis now, const Instance& i) {
   now_ = now;
   auto job = jobs_.find(i.service);
@@ -92,10 +106,10 @@
       auto rep = reports_.find(l->primary);
       if (rep == reports_.end()) return;
       auto& r = rep->second;
-      std::erase_if(r.zones, [&](auto& z) { return z.second < now - kSuspectWindowMs; });
       bool refused = r.refused > now - kSuspectWindowMs;
-      if (r.zones.empty() || r.asking || now < r.quiet_until) return;
-      if (!refused && r.zones.size() < 2) return;
+      std::size_t zones = zones_missing(l->primary);
+      if (zones == 0 || r.asking || now < r.quiet_until) return;
+      if (!refused && zones < 2) return;
       r.asking = true;
       out_.ask(*primary, "INFO", [this, service, lead = *l](DbReply reply) {
         auto& rr = reports_[lead.primary];
@@ -105,8 +119,8 @@
           rr.quiet_until = now_ + kSuspectQuietMs;
           return;
         }
-        rr.silent_infos = reply.kind == DbReply::Kind::kSilent ? rr.silent_infos + 1 : 0;
-        bool dead = reply.kind == DbReply::Kind::kRefused || rr.silent_infos >= 2;
+        // Silence counts only while nodes of two zones still miss every answer: a link may be at fault.
+        bool dead = reply.kind == DbReply::Kind::kRefused || zones_missing(lead.primary) >= 2;
         if (!dead) return;
         rr = {};
         auto current = this->lead(service);
@@ -182,7 +196,21 @@
 // Learns the newest term, and whether someone leads already.
 void Failover::survey(Millis now, const std::string& service, Job& job) {
   go(job, Step::kSurvey);
+  auto l = lead(service);
+  if (!l) return;
   auto whom = members(service);
+  if (!l->planned) {
+    // One that was found dead is asked too, but not waited for.
+    for (auto& i : whom)
+      if (i.id == l->primary) {
+        std::uint64_t round = job.round;
+        out_.ask(i, "INFO", [this, service, round, id = i.id](DbReply r) {
+          auto& j = jobs_[service];
+          if (j.round == round && j.step == Step::kSurvey) j.replies[id] = r;
+        });
+      }
+    std::erase_if(whom, [&](auto& i) { return i.id == l->primary; });
+  }
   if (whom.empty()) return again(now, job);
   ask_all(service, job, whom, "INFO", [this, service] { surveyed(now_, service, jobs_[service]); });
 }
@@ -194,6 +222,8 @@
   InstanceId leader;
   std::uint64_t leader_term = 0;
   for (auto& [id, r] : job.replies) {
+    // Its address is another's by now: the database of that name is no more.
+    if (r.error.starts_with("WRONGNODE")) out_.submit(leave_update(id), [](chain::Answer) {});
     if (r.kind != DbReply::Kind::kRow) continue;
     newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
     if (id == l->primary && r.info.primary) old_term = r.info.term;
@@ -220,12 +250,17 @@
   const bool must_have_all = sync_replicas(service) > 0;
   std::optional<Position> furthest;
   bool missing = false;
+  std::string out_of_reach;
   std::vector<Instance> whom;
   for (auto& i : members(service)) {
     if (i.id == l->primary) continue;
     auto r = job.replies.find(i.id);
     if (r == job.replies.end() || r->second.kind != DbReply::Kind::kRow) {
       missing = true;
+      const char* how[] = {"a row", "an error", "a refusal", "silence"};
+      out_of_reach =
+          i.id.value + " answers with " +
+          (r == job.replies.end() ? "nothing" : how[int(r->second.kind)] + (" " + r->second.error));
       continue;
     }
     whom.push_back(i);
@@ -233,7 +268,7 @@
   }
   if (whom.empty() || (missing && must_have_all)) {
     // Which commits the one out of reach holds is not known: nothing is promoted over it.
-    if (now > job.since) out_.note("Failover of " + service + " waits: not every replica can be reached.");
+    if (now > job.since) out_.note("Failover of " + service + " waits: " + out_of_reach + ".");
     return again(now, job);
   }
   const Instance* best = nullptr;
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -14,6 +14,7 @@
 struct DbReply {
   enum class Kind { kRow, kError, kRefused, kSilent } kind = Kind::kSilent;
   wire::Info info;
+  std::string error;  // its code, for the log
 };
 
 class Failover {
@@ -31,7 +32,10 @@
 
   void tick(Millis now);
   // A node met trouble with a database.
-  void suspect(Millis now, const InstanceId& id, const std::string& zone, bool refused);
+  void suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
+               bool refused);
+  // The same node has an answer of it after all.
+  void cleared(Millis now, const InstanceId& id, const std::string& node);
   // A database has told of itself (a beat came in).
   void told(Millis now, const Instance& i);
 
@@ -51,9 +55,8 @@
     bool told = false;
   };
   struct Reports {
-    std::map<std::string, Millis> zones;
+    std::map<std::string, std::pair<std::string, Millis>> nodes;  // who misses answers: its zone, since when
     Millis refused = -100000;
-    int silent_infos = 0;
     Millis quiet_until = 0;
     bool asking = false;
   };
@@ -72,6 +75,7 @@
   void again(Millis now, Job& job);
   void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom,
                const std::string& statement, std::function<void()> then);
+  std::size_t zones_missing(const InstanceId& id);
   int sync_replicas(const std::string& service) const;
 
   const Ledger& ledger_;
--- a/src/harbourmaster/db_caller.cc
+++ b/src/harbourmaster/db_caller.cc
@@ -51,7 +51,10 @@
 void DbCaller::on_line(const InstanceId& id, const LinePtr& line, std::string_view text) {
   auto word = wire::take(text);
   if (!line->ready) {
-    if (word != "IDLE") return fail(id, line, DbReply::Kind::kError);
+    if (word != "IDLE") {
+      line->reply.error = std::string(text);
+      return fail(id, line, DbReply::Kind::kError);
+    }
     line->ready = true;
     if (!line->calls.empty()) send_first(id, line);
     return;
@@ -61,6 +64,8 @@
       line->reply.kind = DbReply::Kind::kRow;
       line->reply.info = *info;
     }
+  } else if (word == "STMTERR") {
+    line->reply.error = std::string(text);
   } else if (word == "IDLE" && !line->calls.empty()) {
     Call call = std::move(line->calls.front());
     line->calls.erase(line->calls.begin());
@@ -78,7 +83,7 @@
   auto calls = std::move(line->calls);
   line->calls.clear();
   for (auto& c : calls) loop_.timers().cancel(c.timer);
-  for (auto& c : calls) c.done({kind, {}});
+  for (auto& c : calls) c.done({kind, {}, line->reply.error});
 }
 
 void DbCaller::expire() {
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -202,7 +202,7 @@
   } else if (t == "dask" || t == "dgr") {
     lease_->receive(now, from, m);
   } else if (t == "sus") {
-    on_suspect({m.value("id", "")}, m.value("z", ""), m.value("r", false));
+    on_suspect(m);
   } else if (t == "told") {
     if (auto i = Instance::from({m.value("id", "")}, m.value("v", ""))) failover_->told(now, *i);
   } else {
@@ -250,7 +250,10 @@
     tell_peers(false);
     failover_->tick(now);
   } else if (kind == "sus") {
-    on_suspect({m.value("id", "")}, t->zone, m.value("r", false));
+    Json report = m;
+    report["z"] = t->zone;
+    report["n"] = t->node;
+    on_suspect(report);
   } else if (kind == "bye") {
     roster_.left(t->node);
     tell_peers(false);
@@ -259,15 +262,21 @@
   }
 }
 
-void Harbourmaster::on_suspect(const InstanceId& id, const std::string& zone, bool refused) {
+// What a node met at a database: to whoever holds the duty.
+void Harbourmaster::on_suspect(const Json& report) {
   Millis now = loop_.now();
-  if (lease_->holds(now)) {
-    failover_->suspect(now, id, zone, refused);
-    failover_->tick(now);
+  if (!lease_->holds(now)) {
+    const std::string head = node_->view().head();
+    if (head != settings_.ip) send(head, report);
     return;
   }
-  const std::string head = node_->view().head();
-  if (head != settings_.ip) send(head, {{"t", "sus"}, {"id", id.value}, {"z", zone}, {"r", refused}});
+  InstanceId id{report.value("id", "")};
+  const std::string node = report.value("n", "");
+  if (report.value("ok", false))
+    failover_->cleared(now, id, node);
+  else
+    failover_->suspect(now, id, report.value("z", ""), node, report.value("r", false));
+  failover_->tick(now);
 }
 
 void Harbourmaster::feed(Tender& t) {
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -69,7 +69,7 @@
   void tick();
   bool may_grant() const;
   bool all_acknowledged(std::uint64_t number) const;
-  void on_suspect(const InstanceId& id, const std::string& zone, bool refused);
+  void on_suspect(const Json& report);
 
   Log log_{"harbourmaster"};
   Settings settings_;
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -34,6 +34,13 @@
     if (old && (next->calls <= old->calls || next->same_but_calls(*old))) return {};
   }
   Verdict v{200, {}, {{instance_key(id), text, 0, false}}};
+  // An address has one database at a time: whoever was there before has ended, and came back under a new
+  // name.
+  if (!now)
+    ledger.each("i/", [&](const Row& r) {
+      auto other = Instance::from({r.key.substr(2)}, r.value);
+      if (other && other->address == next->address) v.rows.push_back({r.key, {}, 0, true});
+    });
   // The first primary that names itself leads its service; after that only a failover changes the lead.
   if (next->primary && !ledger.find(lead_key(next->service)))
     v.rows.push_back({lead_key(next->service), Lead{id, false, false, 0}.json().dump(), 0, false});
