--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -185,7 +185,7 @@
 }
 
 Millis Engine::hold_limit(const Session& s) const {
-  return std::min(s.work.began + std::max<Millis>(s.route->target_ms / 2, 1), s.work.deadline);
+  return std::min(s.work.began + std::max<Millis>(s.route->target_ms / 4, 1), s.work.deadline);
 }
 
 void Engine::hold(Session& s, const std::string& service) {
@@ -255,7 +255,7 @@
   p.waiting.push_back(s.id);
   if (p.opening < p.waiting.size() && p.total < share(id) && now_ >= p.limit_until) open(id);
   timers_.cancel(s.work.wait);
-  s.work.wait = timers_.at(std::min(s.work.began + s.route->target_ms, s.work.deadline), [this, sid = s.id] {
+  s.work.wait = timers_.at(std::min(s.work.began + s.route->target_ms / 4, s.work.deadline), [this, sid = s.id] {
     Session* x = find(sid);
     if (!x) return;
     x->work.wait = 0;
