Failover: releases are kept in the ledger until every replica has answered

The lead's row now says that replicas are to be released; any holder goes on with it until each has answered or is gone.

--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -255,14 +255,15 @@
   p.waiting.push_back(s.id);
   if (p.opening < p.waiting.size() && p.total < share(id) && now_ >= p.limit_until) open(id);
   timers_.cancel(s.work.wait);
-  s.work.wait = timers_.at(std::min(s.work.began + s.route->target_ms / 4, s.work.deadline), [this, sid = s.id] {
-    Session* x = find(sid);
-    if (!x) return;
-    x->work.wait = 0;
-    std::erase(pools_[x->work.queued_at].waiting, sid);
-    x->work.queued_at = {};
-    refuse(*x, "THROTTLED", "no connection to the database is free");
-  });
+  s.work.wait =
+      timers_.at(std::min(s.work.began + s.route->target_ms / 4, s.work.deadline), [this, sid = s.id] {
+        Session* x = find(sid);
+        if (!x) return;
+        x->work.wait = 0;
+        std::erase(pools_[x->work.queued_at].waiting, sid);
+        x->work.queued_at = {};
+        refuse(*x, "THROTTLED", "no connection to the database is free");
+      });
 }
 
 void Engine::open(const InstanceId& id) {
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -76,11 +76,15 @@
   now_ = now;
   if (!out_.holds()) {
     jobs_.clear();
+    releases_.clear();
     return;
   }
   std::vector<std::string> services;
   ledger_.each("s/", [&](const Row& r) { services.push_back(r.key.substr(2)); });
-  for (auto& s : services) consider(now, s, jobs_[s]);
+  for (auto& s : services) {
+    consider(now, s, jobs_[s]);
+    release(now, s);
+  }
 }
 
 void Failover::consider(Millis now, const std::string& service, Job& job) {
@@ -159,6 +163,7 @@
   out_.note("Failover of " + service + " begins: " + why + " (" + l.primary.value + ").");
   Lead next = l;
   next.hold = true;
+  next.release = false;
   next.planned = planned;
   job = Job{};
   job.since = now;
@@ -231,6 +236,7 @@
       leader = id, leader_term = r.info.term;
   }
   if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
+  if (newest == 0) return again(now, job);  // nobody told a term
   bool alive = old_term > 0;
   if (alive && !l->planned && !job.called) return abandon(now, service, job);
   std::vector<Instance> whom;
@@ -333,26 +339,68 @@
   const Row* row = ledger_.find(lead_key(service));
   auto l = lead(service);
   if (!row || !l) return;
-  InstanceId old = l->primary;
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
   out_.note("Failover of " + service + ": " + id.value + " leads term " + std::to_string(term) + ".");
-  out_.submit(lead_update(service, row->value, Lead{id, false, false, term}), [this, service, round, old, id,
-                                                                               term](chain::Answer) {
-    auto& j = jobs_[service];
-    if (j.round != round) return;
-    auto current = lead(service);
-    if (!current || current->hold) return again(now_, j);
-    for (auto& i : members(service)) {
-      if (i.id == id) continue;
-      out_.ask(i, i.id == old ? "STEPDOWN " + std::to_string(term) : std::string("CONTINUE"), [](DbReply) {});
-    }
-    j = Job{};
-    reports_.clear();
-  });
+  out_.submit(lead_update(service, row->value, Lead{id, false, false, term, true}),
+              [this, service, round](chain::Answer) {
+                auto& j = jobs_[service];
+                if (j.round != round) return;
+                auto current = lead(service);
+                if (!current || current->hold) return again(now_, j);
+                j = Job{};
+                reports_.clear();
+                release(now_, service);
+              });
   (void)now;
 }
 
+// After a switch, or one given up: whoever is held receives again, and a former primary learns that it is
+// one. The ledger says so until all have answered, so that the next holder goes on where this one stops.
+void Failover::release(Millis now, const std::string& service) {
+  auto l = lead(service);
+  if (!l || l->hold || !l->release) {
+    releases_.erase(service);
+    return;
+  }
+  auto& r = releases_[service];
+  if (r.awaited > 0 || now < r.retry_at) return;
+  std::vector<Instance> whom;
+  for (auto& i : members(service))
+    if (i.id != l->primary && !r.done.count(i.id)) whom.push_back(i);
+  if (whom.empty()) {
+    const Row* row = ledger_.find(lead_key(service));
+    Lead next = *l;
+    next.release = false;
+    r.retry_at = now + kSwitchRetryMs;
+    return out_.submit(lead_update(service, row->value, next), [](chain::Answer) {});
+  }
+  r.awaited = whom.size();
+  r.retry_at = now + kSwitchRetryMs * Millis(std::min<std::size_t>(++r.tries, 5));
+  std::uint64_t serial = r.serial = ++last_release_;
+  for (auto& i : whom) {
+    auto done = [this, service, serial, id = i.id](DbReply reply) {
+      auto it = releases_.find(service);
+      if (it == releases_.end() || it->second.serial != serial) return;
+      --it->second.awaited;
+      // A process that is gone holds nothing; one that comes back has started anew.
+      if (reply.kind == DbReply::Kind::kRow || reply.kind == DbReply::Kind::kRefused)
+        it->second.done.insert(id);
+    };
+    if (!i.primary) {
+      out_.ask(i, "CONTINUE", done);
+      continue;
+    }
+    // What it last said of itself may be old: it may lead still, or be held by now.
+    out_.ask(i, "STEPDOWN " + std::to_string(l->term), [this, i, done](DbReply reply) {
+      if (reply.kind == DbReply::Kind::kRow)
+        out_.ask(i, "CONTINUE", done);
+      else
+        done(reply);
+    });
+  }
+}
+
 // The primary is there after all: the replicas go on receiving and it leads again.
 void Failover::abandon(Millis now, const std::string& service, Job& job) {
   const Row* row = ledger_.find(lead_key(service));
@@ -361,12 +409,9 @@
   out_.note("Failover of " + service + " is given up: the primary answers.");
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
-  std::vector<Instance> whom;
-  for (auto& i : members(service))
-    if (i.id != l->primary) whom.push_back(i);
-  for (auto& i : whom) out_.ask(i, "CONTINUE", [](DbReply) {});
   Lead next = *l;
   next.hold = next.planned = false;
+  next.release = true;
   out_.submit(lead_update(service, row->value, next), [this, service, round](chain::Answer) {
     auto& j = jobs_[service];
     if (j.round != round) return;
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -73,6 +73,7 @@
   void announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term);
   void abandon(Millis now, const std::string& service, Job& job);
   void again(Millis now, Job& job);
+  void release(Millis now, const std::string& service);
   void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom,
                const std::string& statement, std::function<void()> then);
   std::size_t zones_missing(const InstanceId& id);
@@ -83,7 +84,14 @@
   Millis now_ = 0;
   std::map<std::string, Job> jobs_;
   std::map<InstanceId, Reports> reports_;
-  std::map<InstanceId, Millis> stepdown_;  // old primaries still to be told
+  struct Release {
+    std::size_t awaited = 0, tries = 0;
+    std::uint64_t serial = 0;
+    Millis retry_at = 0;
+    std::set<InstanceId> done;
+  };
+  std::map<std::string, Release> releases_;
+  std::uint64_t last_release_ = 0;
 };
 
 }  // namespace pebblespindle::duty
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -43,7 +43,7 @@
     });
   // The first primary that names itself leads its service; after that only a failover changes the lead.
   if (next->primary && !ledger.find(lead_key(next->service)))
-    v.rows.push_back({lead_key(next->service), Lead{id, false, false, 0}.json().dump(), 0, false});
+    v.rows.push_back({lead_key(next->service), Lead{id, false, false, 0, false}.json().dump(), 0, false});
   return v;
 }
 
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -152,13 +152,19 @@
 }
 
 Json Lead::json() const {
-  return {{"p", primary.value}, {"h", hold}, {"pl", planned}, {"t", term}};
+  Json j{{"p", primary.value}, {"h", hold}, {"pl", planned}, {"t", term}};
+  if (release) j["r"] = true;
+  return j;
 }
 
 std::optional<Lead> Lead::from(const std::string& text) {
   Json j = Json::parse(text, nullptr, false);
   if (!j.is_object()) return std::nullopt;
-  return Lead{{j.value("p", "")}, j.value("h", false), j.value("pl", false), j.value("t", std::uint64_t(0))};
+  return Lead{{j.value("p", "")},
+              j.value("h", false),
+              j.value("pl", false),
+              j.value("t", std::uint64_t(0)),
+              j.value("r", false)};
 }
 
 }  // namespace pebblespindle
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -54,6 +54,7 @@
   bool hold = false;     // suspended: no node sends it anything on primary routes
   bool planned = false;  // the old primary is alive and leaves in order
   std::uint64_t term = 0;
+  bool release = false;  // after a switch: replicas may still be held, a former primary may not know
   Json json() const;
   static std::optional<Lead> from(const std::string& text);
 };
--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -140,7 +140,7 @@
   // --- the control plane: suspend, wait for the acknowledgement or the lease, promote, announce ----
   void lead(int db, bool hold, std::uint64_t n) {
     number = n;
-    Lead l{{dbs[db].name}, hold, planned, dbs[db].term};
+    Lead l{{dbs[db].name}, hold, planned, dbs[db].term, false};
     rows.push_back({lead_key("s"), l.json().dump(), n, false});
     engine.feed(n, rows);
   }
