--- /dev/null
+++ b/tests/units_test.cc
@@ -0,0 +1,188 @@
+// The parts that stand alone: disk, wire, settings, configuration, freshness, leases of nodes.
+#include <gtest/gtest.h>
+
+#include "berth/freshness.h"
+#include "berth/lvector.h"
+#include "ledger/sqlite_disk.h"
+#include "ordinance/ordinance.h"
+#include "power_vfs.h"
+#include "roster/roster.h"
+#include "wire/wire.h"
+
+namespace pebblespindle::test {
+namespace {
+
+TEST(Disk, KeepsWhatItCommittedThroughPowerLossWithTornWrites) {
+  for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE(seed);
+    PowerVfs power;
+    power.rng.seed(seed);
+    const char* vfs = PowerVfs::install(&power);
+    std::map<std::string, std::string> sure;  // what commit() said is kept
+    for (int life = 0; life < 5; ++life) {
+      auto disk = SqliteDisk::open("ledger.db", vfs);
+      ASSERT_TRUE(disk) << disk.reason;
+      auto meta = (*disk.value)->meta();
+      int last = meta.count("n") ? std::stoi(meta["n"]) : 0;
+      EXPECT_GE(last, sure.count("n") ? std::stoi(sure["n"]) : 0) << "a committed batch is gone";
+      auto rows = (*disk.value)->rows();
+      EXPECT_EQ(rows.size(), std::size_t(std::min(last, 20))) << "half a batch is there";
+      for (auto& r : rows) EXPECT_LE(r.number, std::uint64_t(last)) << "rows without their number";
+      power.until_loss = long(power.rng() % 200);
+      for (int n = last + 1; n < last + 60; ++n) {
+        Batch b;
+        b.rows.push_back(
+            {"k" + std::to_string(n % 20), std::string(power.rng() % 3000, 'x'), std::uint64_t(n), false});
+        b.meta["n"] = std::to_string(n);
+        if (!(*disk.value)->commit(b)) break;
+        sure["n"] = b.meta["n"];
+      }
+      disk.value->reset();
+      power.power_cycle();
+    }
+  }
+}
+
+TEST(Disk, ADamagedFileIsReported) {
+  PowerVfs power;
+  const char* vfs = PowerVfs::install(&power);
+  {
+    auto disk = SqliteDisk::open("ledger.db", vfs);
+    ASSERT_TRUE(disk);
+    Batch b;
+    for (int i = 0; i < 200; ++i)
+      b.rows.push_back({"k" + std::to_string(i), std::string(200, 'x'), 1, false});
+    ASSERT_TRUE((*disk.value)->commit(b));
+  }
+  auto& file = power.files["ledger.db"]->current;
+  for (std::size_t i = 4096; i < 9000; ++i) file[i] = char(i * 31);
+  auto disk = SqliteDisk::open("ledger.db", vfs);
+  ASSERT_FALSE(disk);
+  EXPECT_NE(disk.reason.find("ledger.db"), std::string::npos);
+}
+
+TEST(Wire, StatementsAreReadStrictly) {
+  using wire::Verb;
+  EXPECT_EQ(wire::parse_statement("BEGIN").verb, Verb::kBegin);
+  EXPECT_TRUE(wire::parse_statement("BEGIN FETCH").read_only);
+  EXPECT_EQ(wire::parse_statement("BEGIN STORE").verb, Verb::kBad);
+  EXPECT_EQ(wire::parse_statement("WAITFOR 1.2 FETCH a").verb, Verb::kBad);  // never a client's
+  auto s = wire::parse_statement("PREPARE s1 STORE q2c");
+  EXPECT_EQ(s.verb, Verb::kPrepare);
+  EXPECT_EQ(s.rest, "STORE q2c");
+  EXPECT_EQ(wire::parse_statement("STORE 1a4 a b  c").rest, "a b  c");
+  for (const char* bad :
+       {"", "FETCH", "PREPARE x SCAN y", "EXECUTE p", "COMMIT now", "CONFIGURE a", "RELEASE"})
+    EXPECT_EQ(wire::parse_statement(bad).verb, Verb::kBad) << bad;
+  EXPECT_FALSE(wire::parse_idle("X 1.2"));
+  EXPECT_FALSE(wire::parse_idle("I 1.x"));
+  EXPECT_FALSE(wire::parse_info("replica 3 nonsense 0 12"));
+  EXPECT_EQ(wire::parse_info("replica 3 3.1209 0 12 2 17")->received, (Position{3, 1209}));
+}
+
+TEST(Settings, SayInOneLineWhatIsWrong) {
+  const char* good =
+      R"({"NodeName":"n","IpAddress":"10.0.0.1","Zone":"z","Listeners":{"Frontend":"10.0.0.1:80"},
+    "InternalPortRange":[7440,7455],"SeedNodes":["10.0.0.2:80"],"Unknown":{"x":1}})";
+  EXPECT_TRUE(read_settings(good)) << read_settings(good).reason;
+  for (auto [from, to] : {std::pair{"\"NodeName\":\"n\",", ""},
+                          {"10.0.0.2:80", "10.0.0.2"},
+                          {"[7440,7455]", "[7440]"},
+                          {"{\"Node", "{{"},
+                          {"[7440,7455]", "[7440,7440]"}}) {
+    std::string text = good;
+    text.replace(text.find(from), std::strlen(from), to);
+    auto s = read_settings(text);
+    EXPECT_FALSE(s) << text;
+    EXPECT_EQ(s.reason.find('\n'), std::string::npos);
+  }
+}
+
+const std::string kConfig =
+    R"({"Revision":3,"Routes":[{"Name":"r","Hostname":"h","PathPrefix":"/","RouteType":"primary",
+  "TimeoutMs":1000,"TargetService":"s"}],"Services":[{"Name":"s"}]})";
+
+std::string changed(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(Configuration, WhatIsInvalidIsRefused) {
+  EXPECT_TRUE(read_configuration(kConfig)) << read_configuration(kConfig).reason;
+  EXPECT_FALSE(read_configuration(kConfig.substr(0, kConfig.size() - 9)));
+  EXPECT_FALSE(read_configuration(changed(kConfig, "\"TargetService\":\"s\"", "\"TargetService\":\"t\"")));
+  EXPECT_FALSE(read_configuration(changed(kConfig, "1000", "0")));
+  std::string twice = changed(kConfig, "}],\"Services\"", R"(},{"Name":"q","Hostname":"h","PathPrefix":"/",
+    "RouteType":"primary","TimeoutMs":10,"TargetService":"s"}],"Services")");
+  EXPECT_FALSE(read_configuration(twice));
+}
+
+TEST(Configuration, IsTakenByCompareAndSet) {
+  Ledger ledger;
+  auto offer = [&](std::uint64_t base, const std::string& body) {
+    auto v = judge_update(ledger, config_update(base, body));
+    for (auto& r : v.rows) r.number = ledger.stored() + 1, ledger.put(r);
+    return v.status;
+  };
+  EXPECT_EQ(offer(1, kConfig), 412);
+  EXPECT_EQ(offer(0, kConfig), 200);
+  EXPECT_EQ(offer(0, kConfig), 200);  // the same again, as a call without a clear answer is repeated
+  EXPECT_EQ(offer(0, changed(kConfig, ":3", ":7")), 412);
+  EXPECT_EQ(offer(3, changed(kConfig, ":3", ":2")), 400);
+  EXPECT_EQ(offer(3, changed(kConfig, ":3", ":7")), 200);
+  EXPECT_EQ(offer(3, changed(kConfig, ":3", ":8")), 412);
+  EXPECT_EQ(ledger.find(kConfigKey)->value, changed(kConfig, ":3", ":7"));
+}
+
+TEST(Registry, LateBeatsAndLateLeadersChangeNothing) {
+  Ledger ledger;
+  auto tell = [&](const std::string& id, bool primary, bool draining, int calls, int port) {
+    Instance i{{id}, "s", "z", {"10.0.0.1", std::uint16_t(port)}, 4, draining, primary, std::uint64_t(calls)};
+    auto v = judge_update(ledger, instance_update(i));
+    for (auto& r : v.rows) r.number = ledger.stored() + 1, ledger.put(r);
+  };
+  tell("a", true, false, 1, 1);
+  tell("a", true, true, 5, 1);
+  tell("a", true, false, 4, 1);  // overtaken on the way
+  EXPECT_TRUE(Instance::from({"a"}, ledger.find("i/a")->value)->draining);
+  tell("b", true, false, 1, 2);  // names itself primary, but the lead is not its to take
+  EXPECT_EQ(Lead::from(ledger.find("s/s")->value)->primary.value, "a");
+  auto v = judge_update(ledger, leave_update({"a"}));
+  v.rows[0].number = ledger.stored() + 1;
+  ledger.put(v.rows[0]);
+  tell("a", true, false, 9, 1);
+  EXPECT_EQ(ledger.find("i/a"), nullptr) << "one that has left came back by a late beat";
+}
+
+TEST(Freshness, GivesTheLeastDemandingPositionThatIsYoungEnough) {
+  berth::Freshness f;
+  EXPECT_FALSE(f.bound(1000, 500));
+  f.observe(1000, {1, 10});
+  f.observe(1200, {1, 20});
+  f.observe(1400, {1, 30});
+  f.observe(1500, {1, 25});  // an answer that was overtaken
+  EXPECT_EQ(*f.bound(1400, 500), (Position{1, 10}));
+  EXPECT_EQ(*f.bound(1600, 500), (Position{1, 20}));
+  EXPECT_FALSE(f.bound(1900, 500)) << "the margin for the way is part of the bound";
+}
+
+TEST(LVector, ANewerTermOutranksAnyNumberOfAnOlderOne) {
+  berth::LVector old(Position{3, 900}), cut(Position{4, 850});
+  EXPECT_LT(old, cut);  // 900 was cut back by the promote: a session that saw it is not blocked for ever
+  old.raise({4, 10});
+  EXPECT_LT(old, cut);
+}
+
+TEST(Roster, CountsLeasesItDoesNotRemember) {
+  Roster r(1000);
+  EXPECT_EQ(r.acknowledged(1100, 9), 0u) << "leases of a former life may still run";
+  Millis later = 1000 + constants::kNodeLeaseMs + constants::kDriftMarginMs;
+  EXPECT_EQ(r.acknowledged(later, 9), 9u);
+  r.renew(later, "n", "z", 4, true);
+  EXPECT_EQ(r.acknowledged(later + 1, 9), 4u);
+  r.renew(later + 10, "n", "z", 4, false);  // heard, but no lease was given: the old one runs out
+  EXPECT_EQ(r.acknowledged(later + constants::kNodeLeaseMs, 9), 4u);
+  EXPECT_EQ(r.acknowledged(later + constants::kNodeLeaseMs + constants::kDriftMarginMs, 9), 9u);
+}
+
+}  // namespace
+}  // namespace pebblespindle::test
