Hand the lead over when half of the nodes find a primary slow

Also: reads leave a database that is far slower than the best, and no survey waits for the old primary.

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -45,6 +45,10 @@
     });
     log_.say("Berth " + settings_.node_name + " serves at " + front->second.text() + ".");
     loop_.every(kNodeRenewMs, [this] { renew(); });
+    loop_.every(kPaceWindowMs, [this] {
+      touch();
+      engine_.take_pace();
+    });
     connect_feed();
     loop_.run();
     return 0;
@@ -103,6 +107,9 @@
     log_.say("Database " + id.value + " answers again.");
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}}.dump() + "\n");
   }
+  void slow(const InstanceId& id) override {
+    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"slow", true}}.dump() + "\n");
+  }
   void suspect(const InstanceId& id, bool refused) override {
     Millis now = loop_.now();
     auto& last = suspected_[id];
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -8,6 +8,7 @@
 #include "berth/chart.h"
 #include "berth/freshness.h"
 #include "berth/lvector.h"
+#include "berth/pace.h"
 #include "keel/timers.h"
 #include "wire/wire.h"
 
@@ -25,6 +26,7 @@
   virtual void to_server(ConnId, std::string bytes) = 0;
   virtual void close_server(ConnId, bool orderly) = 0;
   virtual void suspect(const InstanceId&, bool refused) = 0;  // refused, or silent
+  virtual void slow(const InstanceId&) = 0;                   // a primary answers, but far too slowly
   virtual void cleared(const InstanceId&) = 0;                // it answers after all
 };
 
@@ -49,6 +51,9 @@
   // The lease runs until `until` and holds only for a chart at least at `number`.
   void lease(Millis until, std::uint64_t number, std::size_t members);
 
+  // Closes the windows in which the pace of the primaries is taken.
+  void take_pace();
+
   bool ready() const { return chart_.fed() && !leaving_; }
   std::uint64_t acknowledged() const;  // the change whose effect is complete here
   bool leaving() const { return leaving_; }
@@ -131,6 +136,12 @@
     Millis last_answer = 0, drain_since = -1;
     LVector vector;
     std::map<std::string, double> worst;  // by route: the longest answer of late, ms, slowly forgotten
+    struct Latency {
+      double mean = 0;
+      Millis at = 0;
+    };
+    std::map<std::string, Latency> latency;  // by route
+    Pace pace;                               // of statements on primary routes
     int silent = 0;
     bool suspected = false;
   };
@@ -159,6 +170,7 @@
   bool usable(const Instance& i) const;
   Choice choose(Session& s);
   Choice choose_primary(const std::string& service);
+  double latency(const InstanceId& id, const std::string& route) const;
   void attempt(SessionId id);
   void hold(Session& s, const std::string& service);
   void release_held(const std::string& service);
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -223,6 +223,11 @@
     return next_step(c);
   }
   Work& w = s->work;
+  if (s->route->type == RouteType::kPrimary && c.error_code != "THROTTLED") p.pace.answered(now_ - w.sent_at);
+  auto& latency = p.latency[s->route->name];
+  double took = double(now_ - w.sent_at);
+  bool old = now_ - latency.at > kLatencyForgetMs;
+  latency = {old ? took : latency.mean + (took - latency.mean) * kLatencyLearn, now_};
   double& worst = p.worst[s->route->name];
   worst = std::max(double(now_ - w.sent_at), worst * kWorstDecay);
   if (idle.position) {
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -122,6 +122,22 @@
   return true;
 }
 
+// What this database takes for a statement of the route, of late; 0 when that is not known.
+double Engine::latency(const InstanceId& id, const std::string& route) const {
+  auto p = pools_.find(id);
+  if (p == pools_.end()) return 0;
+  auto l = p->second.latency.find(route);
+  return l == p->second.latency.end() || now_ - l->second.at > kLatencyForgetMs ? 0 : l->second.mean;
+}
+
+void Engine::take_pace() {
+  for (auto& [name, spec] : chart_.config().services) {
+    const Lead* l = chart_.lead(name);
+    auto p = l ? pools_.find(l->primary) : pools_.end();
+    if (p != pools_.end() && p->second.pace.close_window() && !l->hold) port_.slow(l->primary);
+  }
+}
+
 Engine::Choice Engine::choose(Session& s) {
   const Route& route = *s.route;
   bool tx = s.state == 'T';
@@ -146,6 +162,11 @@
     require = std::max(require, s.vector.newest());
   }
   const Lead* lead = chart_.lead(route.service);
+  double quickest = 0;
+  for (auto& [id, i] : chart_.instances()) {
+    double ms = i.service == route.service && usable(i) ? latency(id, route.name) : 0;
+    if (ms > 0 && (quickest == 0 || ms < quickest)) quickest = ms;
+  }
   const Instance* best = nullptr;
   long best_cost = 0;
   for (auto& [id, i] : chart_.instances()) {
@@ -157,6 +178,8 @@
     bool behind = !leads && now_ < pool.lagging_until && pool.vector.newest() < require;
     long cost = (i.zone == zone_ ? 0 : 20) + (leads ? 5 : 0) + (i.draining ? 40 : 0) + (behind ? 60 : 0) +
                 long(std::min<std::size_t>(pool.waiting.size(), 20)) * 4;
+    double ms = latency(id, route.name);
+    if (ms > quickest * kLatencyAvoidFactor && ms > quickest + kLatencyAvoidMs) cost += 30;
     if (behind && primary.kind == Choice::Kind::kGo && !leads) continue;
     if (!best || cost < best_cost) best = &i, best_cost = cost;
   }
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -54,6 +54,27 @@
   if (r != reports_.end()) r->second.nodes.erase(node);
 }
 
+void Failover::slow(Millis now, const InstanceId& id, const std::string& zone, const std::string& node) {
+  reports_[id].slow[node] = {zone, now};
+}
+
+// Half of the nodes, in more than one zone, find it slow: it is the database, not a link.
+bool Failover::found_slow(const std::string& service, const InstanceId& id) {
+  auto r = reports_.find(id);
+  if (r == reports_.end()) return false;
+  std::erase_if(r->second.slow, [&](auto& n) { return n.second.second < now_ - kSlowReportMs; });
+  std::set<std::string> zones;
+  for (auto& [node, report] : r->second.slow) zones.insert(report.first);
+  auto last = handed_over_.find(service);
+  if (last != handed_over_.end() && now_ < last->second + kHandoverPauseMs) return false;
+  if (zones.size() < 2 || 2 * r->second.slow.size() < out_.members()) {
+    r->second.agreed_since = -1;
+    return false;
+  }
+  if (r->second.agreed_since < 0) r->second.agreed_since = now_;
+  return now_ >= r->second.agreed_since + kSlowLastsMs;  // a stall passes by itself
+}
+
 std::size_t Failover::zones_missing(const InstanceId& id) {
   auto& r = reports_[id];
   std::erase_if(r.nodes, [&](auto& n) { return n.second.second < now_ - kSuspectWindowMs; });
@@ -107,6 +128,10 @@
       if (!successor) return;
       if (!primary) return begin(now, service, *l, false, "the primary has left");
       if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
+      if (found_slow(service, l->primary)) {
+        handed_over_[service] = now;
+        return begin(now, service, *l, true, "the primary is slow");
+      }
       auto rep = reports_.find(l->primary);
       if (rep == reports_.end()) return;
       auto& r = rep->second;
@@ -204,18 +229,17 @@
   auto l = lead(service);
   if (!l) return;
   auto whom = members(service);
-  if (!l->planned) {
-    // One that was found dead is asked too, but not waited for.
-    for (auto& i : whom)
-      if (i.id == l->primary) {
-        std::uint64_t round = job.round;
-        out_.ask(i, "INFO", [this, service, round, id = i.id](DbReply r) {
-          auto& j = jobs_[service];
-          if (j.round == round && j.step == Step::kSurvey) j.replies[id] = r;
-        });
-      }
-    std::erase_if(whom, [&](auto& i) { return i.id == l->primary; });
-  }
+  // The old primary is asked too, but not waited for: it may be dead or slow, and what it has acknowledged is
+  // on the replicas.
+  for (auto& i : whom)
+    if (i.id == l->primary) {
+      std::uint64_t round = job.round;
+      out_.ask(i, "INFO", [this, service, round, id = i.id](DbReply r) {
+        auto& j = jobs_[service];
+        if (j.round == round && j.step == Step::kSurvey) j.replies[id] = r;
+      });
+    }
+  std::erase_if(whom, [&](auto& i) { return i.id == l->primary; });
   if (whom.empty()) return again(now, job);
   ask_all(service, job, whom, "INFO", [this, service] { surveyed(now_, service, jobs_[service]); });
 }
@@ -272,6 +296,9 @@
     whom.push_back(i);
     if (!furthest || r->second.info.received > *furthest) furthest = r->second.info.received;
   }
+  const Row* old = ledger_.find(instance_key(l->primary));
+  auto former = old ? Instance::from(l->primary, old->value) : std::nullopt;
+  if (missing && l->planned && former && !former->draining && !job.called) return abandon(now, service, job);
   if (whom.empty() || (missing && must_have_all)) {
     // Which commits the one out of reach holds is not known: nothing is promoted over it.
     if (now > job.since) out_.note("Failover of " + service + " waits: " + out_of_reach + ".");
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -26,6 +26,7 @@
         promote;
     std::function<void(Json update, std::function<void(chain::Answer)>)> submit;
     std::function<bool(std::uint64_t number)> all_acknowledged;  // by every node with a live lease
+    std::function<std::size_t()> members;                        // nodes with a live lease
     std::function<void(const std::string&)> note;
   };
   Failover(const Ledger& ledger, Out out) : ledger_(ledger), out_(std::move(out)) {}
@@ -34,6 +35,8 @@
   // A node met trouble with a database.
   void suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
                bool refused);
+  // A node finds that a primary answers, but far too slowly.
+  void slow(Millis now, const InstanceId& id, const std::string& zone, const std::string& node);
   // The same node has an answer of it after all.
   void cleared(Millis now, const InstanceId& id, const std::string& node);
   // A database has told of itself (a beat came in).
@@ -56,6 +59,8 @@
   };
   struct Reports {
     std::map<std::string, std::pair<std::string, Millis>> nodes;  // who misses answers: its zone, since when
+    std::map<std::string, std::pair<std::string, Millis>> slow;
+    Millis agreed_since = -1;  // half of the nodes have found it slow ever since
     Millis refused = -100000;
     Millis quiet_until = 0;
     bool asking = false;
@@ -77,6 +82,7 @@
   void ask_all(const std::string& service, Job& job, const std::vector<Instance>& whom,
                const std::string& statement, std::function<void()> then);
   std::size_t zones_missing(const InstanceId& id);
+  bool found_slow(const std::string& service, const InstanceId& id);
   int sync_replicas(const std::string& service) const;
 
   const Ledger& ledger_;
@@ -90,6 +96,7 @@
     Millis retry_at = 0;
     std::set<InstanceId> done;
   };
+  std::map<std::string, Millis> handed_over_;  // by service: when its lead last moved for slowness
   std::map<std::string, Release> releases_;
   std::uint64_t last_release_ = 0;
 };
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -56,6 +56,7 @@
     node_->submit(loop_.now(), std::move(u), std::move(done));
   };
   out.all_acknowledged = [this](std::uint64_t n) { return all_acknowledged(n); };
+  out.members = [this] { return members(); };
   out.note = [this](const std::string& s) { log_.say(s); };
   failover_ = std::make_unique<duty::Failover>(node_->ledger(), std::move(out));
   for (auto& f : node_->founders())
@@ -214,6 +215,14 @@
   return node_->seated(loop_.now());
 }
 
+std::size_t Harbourmaster::members() const {
+  Millis now = loop_.now();
+  std::size_t n = roster_.count(now);
+  for (auto& [name, p] : peers_)
+    if (now - p.told < 3 * kCoreSilentMs) n += p.nodes;
+  return n;
+}
+
 Json Harbourmaster::core_list() const {
   Json l = Json::array({Json::array({settings_.ip, settings_.zone})});
   for (auto& [name, p] : peers_)
@@ -235,14 +244,11 @@
     bool grant = may_grant();
     roster_.renew(now, t->node, t->zone, m.value("ack", std::uint64_t(0)), grant);
     if (grant) {
-      std::size_t members = roster_.count(now);
-      for (auto& [name, p] : peers_)
-        if (now - p.told < 3 * kCoreSilentMs) members += p.nodes;
       t->conn->send(Json{{"t", "grant"},
                          {"at", m.value("at", Json())},
                          {"ms", kNodeLeaseMs},
                          {"k", node_->ledger().stored()},
-                         {"n", members}}
+                         {"n", members()}}
                         .dump() +
                     "\n");
     }
@@ -274,6 +280,8 @@
   const std::string node = report.value("n", "");
   if (report.value("ok", false))
     failover_->cleared(now, id, node);
+  else if (report.value("slow", false))
+    failover_->slow(now, id, report.value("z", ""), node);
   else
     failover_->suspect(now, id, report.value("z", ""), node, report.value("r", false));
   failover_->tick(now);
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -68,6 +68,7 @@
 
   void tick();
   bool may_grant() const;
+  std::size_t members() const;  // nodes with a live lease, here and at the other cores
   bool all_acknowledged(std::uint64_t number) const;
   void on_suspect(const Json& report);
 
--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -209,6 +209,7 @@
   void close_server(ConnId id, bool) override { lines[id].open = false; }
   void suspect(const InstanceId&, bool) override {}
   void cleared(const InstanceId&) override {}
+  void slow(const InstanceId&) override {}
   void to_server(ConnId id, std::string bytes) override {
     auto& l = lines[id];
     l.last_in = std::max(l.last_in, now + 1 + pick(3));
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -106,6 +106,7 @@
       });
     };
     out.all_acknowledged = [](std::uint64_t) { return true; };
+    out.members = [] { return std::size_t(4); };
     out.note = [](const std::string&) {};
     failover = std::make_unique<Failover>(ledger, std::move(out));
   }
@@ -241,6 +242,37 @@
   EXPECT_EQ(sea.promotes, 0);
 }
 
+TEST(Failover, HandsTheLeadOverWhenNodesOfSeveralZonesFindItSlow) {
+  Sea sea(8);
+  auto report = [&](int nodes, int zones) {
+    for (int i = 0; i < 3000; ++i) {
+      if (i % 500 == 0)
+        for (int n = 0; n < nodes; ++n)
+          sea.failover->slow(sea.now, {"db0"}, "z" + std::to_string(n % zones), "n" + std::to_string(n));
+      sea.step();
+    }
+  };
+  report(1, 1);
+  report(3, 1);  // one zone: its link may be at fault
+  EXPECT_EQ(sea.promotes, 0);
+  report(2, 2);
+  EXPECT_EQ(sea.promotes, 1);
+  EXPECT_NE(sea.leader(), "db0");
+}
+
+TEST(Failover, KeepsASlowPrimaryWhenAReplicaCanNotBeHeld) {
+  Sea sea(9);
+  sea.dbs["db1"].dark = true;
+  for (int i = 0; i < 2000; ++i) {
+    if (i == 100)
+      for (int n = 0; n < 4; ++n)
+        sea.failover->slow(sea.now, {"db0"}, "z" + std::to_string(n % 2), "n" + std::to_string(n));
+    sea.step();
+  }
+  EXPECT_EQ(sea.promotes, 0);
+  EXPECT_EQ(sea.leader(), "db0") << "it leads on: slow is better than not at all";
+}
+
 TEST(Failover, WaitsWhenAReplicaThatMayHoldMoreIsOutOfReach) {
   Sea sea(6);
   sea.dbs["db1"].dark = true;
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -3,6 +3,7 @@
 
 #include "berth/freshness.h"
 #include "berth/lvector.h"
+#include "berth/pace.h"
 #include "ledger/sqlite_disk.h"
 #include "ordinance/ordinance.h"
 #include "power_vfs.h"
@@ -165,6 +166,28 @@
   EXPECT_FALSE(f.bound(1900, 500)) << "the margin for the way is part of the bound";
 }
 
+// Feeds windows of n answers of which some take `late`, the rest `ms`; tells whether the last was found slow.
+bool paced(berth::Pace& p, int windows, int n, Millis ms, int some = 0, Millis late = 0) {
+  bool slow = false;
+  for (int w = 0; w < windows; ++w) {
+    for (int i = 0; i < n; ++i) p.answered(i < some ? late : ms);
+    slow = p.close_window();
+  }
+  return slow;
+}
+
+TEST(Pace, TellsSlowFromBusyAndFromALossyLink) {
+  berth::Pace slow;
+  EXPECT_FALSE(paced(slow, 10, 20, 10));
+  EXPECT_TRUE(paced(slow, 1, 18, 60));
+  berth::Pace busy;
+  paced(busy, 10, 20, 10);
+  EXPECT_FALSE(paced(busy, 6, 40, 60)) << "it gets more done than usual";
+  berth::Pace lossy;
+  paced(lossy, 10, 20, 10);
+  EXPECT_FALSE(paced(lossy, 6, 20, 10, 5, 400)) << "lost packets delay some answers only";
+}
+
 TEST(LVector, ANewerTermOutranksAnyNumberOfAnOlderOne) {
   berth::LVector old(Position{3, 900}), cut(Position{4, 850});
   EXPECT_LT(old, cut);  // 900 was cut back by the promote: a session that saw it is not blocked for ever
