Back-pressure on clients that send ahead; a tender alone ends within its grace

Cause: a client could send statements without end while one was under way, and each was kept; a tender asked to end without its berth waited for it until it was killed. Clients over 64 lines or 256 KB behind are not read until they have caught up. The start of the three roles is one piece of code now. Tried by hand with real processes on loopback, from the README: ready, put, refuse, get, status, a session, and an orderly end.

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -8,6 +8,7 @@
 #include "keel/log.h"
 #include "keel/loop.h"
 #include "keel/registry.h"
+#include "keel/role.h"
 
 namespace pebblespindle {
 namespace {
@@ -137,6 +138,7 @@
     conn->start({[this, id](std::string_view line) {
                    touch();
                    engine_.client_line(id, line);
+                   if (pressed(id)) hold_back(id);
                  },
                  [this, id](LineConn::End end) {
                    touch();
@@ -148,6 +150,26 @@
                  [this] { loop_.rearm(); }});
   }
 
+  // A client that sends ahead, or does not read, is not read until it has caught up.
+  bool pressed(SessionId id) {
+    auto it = clients_.find(id);
+    return it != clients_.end() &&
+           (engine_.backlog(id) > kBacklogLines || it->second->queued() > kBackpressureBytes);
+  }
+  void hold_back(SessionId id) {
+    clients_[id]->pause(true);
+    if (held_back_.empty()) loop_.timers().at(loop_.now() + kReconnectMs / 4, [this] { let_on(); });
+    held_back_.insert(id);
+  }
+  void let_on() {
+    std::erase_if(held_back_, [this](SessionId id) {
+      if (pressed(id)) return false;
+      if (auto it = clients_.find(id); it != clients_.end()) it->second->pause(false);
+      return true;
+    });
+    if (!held_back_.empty()) loop_.timers().at(loop_.now() + kReconnectMs / 4, [this] { let_on(); });
+  }
+
   void start_server(ConnId id, const LineConn::Ptr& conn) {
     servers_[id] = conn;
     conn->start({[this, id](std::string_view line) {
@@ -272,6 +294,7 @@
   std::unordered_map<ConnId, LineConn::Ptr> servers_;
   std::set<ConnId> opening_, abandoned_;
   std::map<InstanceId, Millis> suspected_;
+  std::set<SessionId> held_back_;
   SessionId last_session_ = 0;
   LineConn::Ptr feed_;
   std::uint64_t told_ = 0;
@@ -279,14 +302,7 @@
 };
 
 int run_berth(const std::string&) {
-  Log log("berth");
-  auto settings = load_settings(settings_path());
-  if (!settings) {
-    log.say("Settings not taken: " + settings.reason + ".");
-    return 1;
-  }
-  Berth b(std::move(*settings.value));
-  return b.run();
+  return run_role("berth", [](Settings s) { return Berth(std::move(s)).run(); });
 }
 
 RegisterCommand berth_command("berth", {"serves client sessions on an edge machine", "", run_berth});
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -53,6 +53,11 @@
   drop(id);
 }
 
+std::size_t Engine::backlog(SessionId id) const {
+  auto it = sessions_.find(id);
+  return it == sessions_.end() ? 0 : it->second.lines.size();
+}
+
 void Engine::client_closed(SessionId id) {
   Session* s = find(id);
   if (s) drop(id);
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -42,6 +42,7 @@
   void client_line(SessionId, std::string_view line);
   void client_closed(SessionId);
   void client_too_long(SessionId);
+  std::size_t backlog(SessionId) const;  // lines a session has sent that wait for their turn
 
   void server_up(ConnId);
   void server_line(ConnId, std::string_view line);
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -5,6 +5,7 @@
 
 #include "keel/constants.h"
 #include "keel/registry.h"
+#include "keel/role.h"
 #include "ordinance/ordinance.h"
 
 namespace pebblespindle {
@@ -482,23 +483,19 @@
 namespace {
 
 int run_harbourmaster(const std::string&) {
-  Log log("harbourmaster");
-  auto settings = load_settings(settings_path());
-  if (!settings) {
-    log.say("Settings not taken: " + settings.reason + ".");
-    return 1;
-  }
-  if (settings.value->data_directory.empty()) {
-    log.say("The settings name no DataDirectory.");
-    return 1;
-  }
-  auto disk = SqliteDisk::open(settings.value->data_directory + "/ledger.db");
-  if (!disk) {
-    log.say("The disk cannot be used: " + disk.reason + ".");
-    return 1;
-  }
-  Harbourmaster h(std::move(*settings.value), std::move(*disk.value));
-  return h.run();
+  return run_role("harbourmaster", [](Settings settings) {
+    Log log("harbourmaster");
+    if (settings.data_directory.empty()) {
+      log.say("The settings name no DataDirectory.");
+      return 1;
+    }
+    auto disk = SqliteDisk::open(settings.data_directory + "/ledger.db");
+    if (!disk) {
+      log.say("The disk cannot be used: " + disk.reason + ".");
+      return 1;
+    }
+    return Harbourmaster(std::move(settings), std::move(*disk.value)).run();
+  });
 }
 
 RegisterCommand harbourmaster_command("harbourmaster",
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -13,7 +13,8 @@
 constexpr std::size_t kMaxHttpHeaderBytes = 16384;  // bytes; ordinary header bound for control calls
 constexpr std::size_t kReadChunkBytes = 16384;  // bytes; one shared read buffer per process, not per socket
 constexpr std::size_t kBackpressureBytes =
-    262144;  // bytes queued to a slow reader before its peer is not read
+    262144;                                // bytes queued to a slow reader before its peer is not read
+constexpr std::size_t kBacklogLines = 64;  // lines a client may send ahead before it is not read
 
 // --- core: view and chain -------------------------------------------------
 constexpr std::int64_t kCoreBeatMs = 250;     // ms; cores in step within a few beats, few bytes between zones
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -7,6 +7,7 @@
 #include "keel/log.h"
 #include "keel/loop.h"
 #include "keel/registry.h"
+#include "keel/role.h"
 #include "ledger/ledger.h"
 
 namespace pebblespindle {
@@ -32,7 +33,9 @@
       // The berth ends its work first; the link stays up for it until the grace period is nearly over.
       log_.say("Asked to end.");
       if (!berth_) loop_.stop();
+      if (ending_) return;
       ending_ = true;
+      loop_.timers().at(loop_.now() + settings_.grace_ms - 2 * kReconnectMs, [this] { loop_.stop(); });
     });
     loop_.on_signal(SIGHUP, [this] {
       auto s = load_settings(settings_path());
@@ -211,14 +214,7 @@
 };
 
 int run_tender(const std::string&) {
-  Log log("tender");
-  auto settings = load_settings(settings_path());
-  if (!settings) {
-    log.say("Settings not taken: " + settings.reason + ".");
-    return 1;
-  }
-  Tender t(std::move(*settings.value));
-  return t.run();
+  return run_role("tender", [](Settings s) { return Tender(std::move(s)).run(); });
 }
 
 RegisterCommand tender_command("tender", {"keeps the link of an edge machine to the core", "", run_tender});
