--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -79,12 +79,12 @@
 // --- a slow primary ---------------------------------------------------------
 constexpr std::int64_t kPaceWindowMs = 500;   // ms; some ten answers a node at ordinary rates
 constexpr int kPaceLeastAnswers = 5;          // answers; fewer say nothing of a window
-constexpr double kPaceSlowFactor = 2.5;       // times the usual median; half of the nodes must agree on it
+constexpr double kPaceSlowFactor = 2.7;       // times the usual median; half of the nodes must agree on it
 constexpr double kPaceSlowMs = 15.0;          // ms; and at least this much longer
 constexpr double kPaceBusyFactor = 1.3;       // times the usual answers: then it is busy, not slow
 constexpr double kPaceLearn = 0.2;            // weight of a window; the usual is some three seconds long
 constexpr std::int64_t kSlowReportMs = 1200;  // ms; a report counts this long: two windows and the way
-constexpr std::int64_t kSlowLastsMs = 500;    // ms; half of the nodes agree this long: more than one stall
+constexpr std::int64_t kSlowLastsMs = 700;    // ms; half of the nodes agree this long: more than one stall
 constexpr std::int64_t kHandoverPauseMs = 15000;  // ms; a service's lead moves for slowness no more often
 constexpr double kLatencyAvoidFactor = 2.5;       // times the best database's time before reads go elsewhere
 constexpr double kLatencyAvoidMs = 20.0;          // ms; and at least this much longer
