Tenders ask several cores at once; sessions wait for a berth's first feed and lease

Change: a tender asks a core for a place, is answered, and only then moves; a renewal unanswered for 0.2 s has others asked while the link is kept. CONNECT waits up to a second for the first feed and lease, then THROTTLED. Cores dial for 0.25 s, and at once when the other one calls; a new link beats at once. CallCounts met are no longer remembered by a process: the ledger alone decides what is late. Ruled out: refusing connections until fed (burns the clients' tries), waiting longer for a silent core.

--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -35,18 +35,39 @@
       port_.to_client(id, wire::error("CONNLIMIT", "too many sessions here"));
       return drop(id);
     }
-    if (!chart_.route(s->host)) {
-      port_.to_client(id, wire::error("NODATABASE", s->host));
-      return drop(id);
-    }
-    s->greeted = true;
-    port_.to_client(id, wire::idle('I', "-"));
+    if (chart_.fed() && lease_until_ > 0) return greet(id);
+    // Just started: which databases there are is not known yet, or no primary may be asked.
+    unfed_.push_back(id);
+    s->greeted = s->busy = true;
+    s->rest = timers_.at(now_ + kFirstFeedMs, [this, id] {
+      Session* x = find(id);
+      if (!x) return;
+      x->rest = 0;
+      if (chart_.fed()) return greet(id);
+      port_.to_client(id, wire::error("THROTTLED", "retry-after-ms=" + std::to_string(kFirstFeedMs) +
+                                                       " this node has just started"));
+      drop(id);
+    });
     return;
   }
   s->lines.emplace_back(line);
   pump(*s);
 }
 
+void Engine::greet(SessionId id) {
+  Session* s = find(id);
+  if (!s) return;
+  timers_.cancel(s->rest);
+  if (!chart_.route(s->host)) {
+    port_.to_client(id, wire::error("NODATABASE", s->host));
+    return drop(id);
+  }
+  s->greeted = true;
+  s->busy = false;
+  port_.to_client(id, wire::idle('I', "-"));
+  pump(*s);
+}
+
 void Engine::client_too_long(SessionId id) {
   if (!find(id)) return;
   port_.to_client(id, wire::error("TOOLARGE", "a message holds at most 1 MiB"));
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -154,6 +154,7 @@
   };
 
   // session side
+  void greet(SessionId id);
   void pump(Session& s);
   void handle(Session& s, std::string_view line);
   void answer(Session& s, std::string body);  // body, then IDLE in the session's state
@@ -222,6 +223,7 @@
   std::map<std::string, std::deque<SessionId>> held_;  // by service
   std::map<std::string, Millis> suspended_since_;
   std::map<std::string, std::uint64_t> shape_names_;
+  std::vector<SessionId> unfed_;  // wait for the first feed
   ConnId last_conn_ = 0;
   std::uint64_t suspended_number_ = 0;
 };
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -84,6 +84,8 @@
   lease_until_ = std::max(lease_until_, until);
   lease_number_ = number;
   members_ = std::max<std::size_t>(1, members);
+  if (chart_.fed())
+    for (auto id : std::exchange(unfed_, {})) greet(id);
   if (had || !leased()) return;
   std::vector<std::string> services;
   for (auto& [service, q] : held_) services.push_back(service);
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -49,6 +49,7 @@
   void read(Millis now, const std::string& key,
             std::function<void(std::optional<std::string>, bool ok)> done);
   void meet(const std::string& host);  // another core, by whatever way it became known
+  void linked() { next_beat_ = 0; }    // a link to another core has come up: it hears of this one at once
 
   const View& view() const { return view_; }
   const Ledger& ledger() const { return ledger_; }
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -119,11 +119,12 @@
   p.dialling = true;
   p.dial_at = loop_.now() + kReconnectMs;
   LineConn::connect(
-      loop_.io(), {host, settings_.inner_first}, kCoreSilentMs, kMaxLinkBytes,
+      loop_.io(), {host, settings_.inner_first}, kCoreDialMs, kMaxLinkBytes,
       [this, host](LineConn::Ptr conn, const asio::error_code&) {
         auto& peer = peers_[host];
         peer.dialling = false;
         if (!conn) return;
+        if (peer.conn) return conn->close();
         peer.conn = conn;
         set_silence_limit(conn->socket(), kCoreSilentMs * 3);
         conn->start({[](std::string_view) {},
@@ -133,6 +134,7 @@
                      {}});
         conn->send(Json{{"t", "core"}, {"name", node_->self()}, {"zone", settings_.zone}}.dump() + "\n");
         told_at_ = 0;
+        node_->linked();
       });
 }
 
@@ -173,6 +175,7 @@
       peers_[host].zone = m.value("zone", "");
       peers_[host].name = link->node;
       tenders_[link] = true;
+      if (!peers_[host].conn) dial(host);  // it is up: no need to wait for an opening packet it never got
     } else {
       on_tender(link, m);
     }
@@ -231,12 +234,13 @@
 void Harbourmaster::on_tender(const std::shared_ptr<Tender>& t, const Json& m) {
   Millis now = loop_.now();
   const std::string kind = m.value("t", "");
-  if (kind == "hi") {
+  if (kind == "who") {
+    t->conn->send(Json{{"t", "cores"}, {"l", core_list()}, {"ok", may_grant()}}.dump() + "\n");
+  } else if (kind == "hi") {
     t->node = m.value("node", "");
     t->zone = m.value("zone", "");
     t->sent = m.value("have", std::uint64_t(0));
     t->greeted = true;
-    t->conn->send(Json{{"t", "cores"}, {"l", core_list()}}.dump() + "\n");
     feed(*t);
   } else if (kind == "renew") {
     bool grant = may_grant();
@@ -397,9 +401,6 @@
   auto beat = read_beat(id, r.body);
   if (!beat) return done(plain(400, beat.reason));
   const Instance& i = *beat.value;
-  auto& newest = calls_[i.id];
-  if (i.calls < newest) return done({200, beat_answer(i), {}});  // a late one
-  newest = i.calls;
   const Row* row = node_->ledger().find_any(instance_key(i.id));
   auto old = row && !row->gone ? Instance::from(i.id, row->value) : std::nullopt;
   bool plain_renewal = row && (row->gone || (old && old->same_but_calls(i)));
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -87,7 +87,6 @@
   std::size_t told_nodes_ = 0;
   Millis told_at_ = 0, born_ = loop_.now(), seated_at_;
   bool held_duty_ = false;
-  std::map<InstanceId, std::uint64_t> calls_;  // newest CallCount met here
 };
 
 }  // namespace pebblespindle
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -42,7 +42,12 @@
     1500;  // ms; three missed renewals; bounds a failover's wait for a dead node
 constexpr std::int64_t kNodeRenewMs = 450;   // ms; three tries within a lease
 constexpr std::int64_t kCoreSearchMs = 700;  // ms; a tender leaves a core that is silent this long
-constexpr std::int64_t kReconnectMs = 100;   // ms; pause between tries to reach a core or tender
+constexpr std::int64_t kCoreAnswerMs =
+    200;  // ms; a renewal unanswered this long: other cores are asked while the lease still runs
+constexpr std::int64_t kCoreAskStepMs = 100;  // ms; many round trips: then the next core is asked as well
+constexpr std::int64_t kCoreDialMs =
+    250;  // ms; a core that just starts drops the opening packet: dial anew, don't wait for seconds
+constexpr std::int64_t kReconnectMs = 100;  // ms; pause between tries to reach a core or tender
 
 // --- the failover duty ----------------------------------------------------
 constexpr std::int64_t kDutyGuardMs = 250;  // ms; the holder stops this long before its lease ends
@@ -61,6 +66,8 @@
 constexpr std::int64_t kFreshMarginMs = 40;      // ms; subtracted from stale_ms for the way to the database
 constexpr std::int64_t kObservationStepMs = 20;  // ms; one kept position per step bounds the ring's memory
 constexpr std::int64_t kObservationKeepMs = 10000;  // ms; no route allows older positions than this
+constexpr std::int64_t kFirstFeedMs =
+    1000;  // ms; sessions wait this long for a berth that just started; clients wait two seconds for IDLE
 constexpr std::int64_t kServerConnectMs =
     1000;                               // ms; a new connection answers within tens of ms when healthy
 constexpr std::int64_t kAvoidMs = 500;  // ms; after CONNLIMIT no further connection is opened for this long
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -44,8 +44,8 @@
       settings_.seeds = s.value->seeds;
       for (auto& seed : settings_.seeds) add_core(seed.host, "");
     });
-    loop_.every(kReconnectMs, [this] { tick(); });
-    find_core();
+    loop_.every(kReconnectMs / 2, [this] { tick(); });
+    ask_next();
     loop_.run();
     return 0;
   }
@@ -80,66 +80,105 @@
       log_.say("Core " + core_host_ + " is silent.");
       drop_core();
     }
-    if (!core_ && !dialling_) find_core();
+    // A renewal that gets no answer: others are asked while the link is kept.
+    bool waiting = core_ && asked_ > heard_ && now - asked_ > kCoreAnswerMs;
+    if (!core_ || waiting) {
+      if (now >= ask_next_at_) ask_next();
+    } else if (core_zone_ != settings_.zone && now >= try_home_at_) {  // home again once it answers
+      try_home_at_ = now + kCoreSilentMs * 3;
+      for (auto& c : cores_)
+        if (c.zone == settings_.zone && c.host != core_host_) ask(c.host);
+    }
     if (core_ && !berth_ && now >= next_renew_) {  // without a berth the machine's lease is kept all the same
       next_renew_ = now + kNodeRenewMs;
       renew(Json{{"t", "renew"}, {"at", now}, {"ack", number_}});
     }
-    // Home again once the core of this zone answers others.
-    if (core_ && core_zone_ != settings_.zone && now >= try_home_at_) {
-      try_home_at_ = now + kCoreSilentMs * 3;
-      for (auto& c : cores_)
-        if (c.zone == settings_.zone && c.host != core_host_) return dial(c.host, true);
-    }
+    std::erase_if(asked_cores_, [&](auto& a) {
+      if (now - a.second.since < kCoreSearchMs) return false;
+      if (a.second.conn) a.second.conn->close();
+      return true;
+    });
   }
 
   void drop_core() {
     if (core_) core_->close();
     core_ = nullptr;
-    ++next_core_;
-    find_core();
+    ask_next();
   }
 
-  void find_core() {
-    if (dialling_ || core_) return;
-    if (first_ || next_core_ % (cores_.size() + 1) == 0) {
-      first_ = false;
-      for (std::size_t i = 0; i < cores_.size(); ++i)
-        if (cores_[i].zone == settings_.zone) return dial(cores_[i].host, false);
-    }
+  // Asks one core after the other, a short while apart, whether it has a place; the first to say so is taken.
+  void ask_next() {
+    ask_next_at_ = loop_.now() + kCoreAskStepMs;
+    std::size_t n = cores_.size();
+    if (next_core_ == 0)
+      for (auto& c : cores_)  // the one at home first
+        if (c.zone == settings_.zone && !(core_ && c.host == core_host_)) {
+          next_core_ = 1;
+          return ask(c.host);
+        }
     // Nodes spread over the cores while zones are not known yet.
     std::size_t start = std::hash<std::string>()(settings_.node_name);
-    dial(cores_[(start + next_core_) % cores_.size()].host, false);
+    auto& host = cores_[(start + next_core_) % n].host;
+    next_core_ = (next_core_ + 1) % (n + 1);
+    if (!(core_ && host == core_host_)) ask(host);
   }
 
-  void dial(const std::string& host, bool move) {
-    dialling_ = true;
+  void ask(const std::string& host) {
+    if (asked_cores_.count(host)) return;
+    asked_cores_[host].since = loop_.now();
     LineConn::connect(loop_.io(), {host, settings_.inner_first}, kCoreSearchMs, kMaxLinkBytes,
-                      [this, host, move](LineConn::Ptr conn, const asio::error_code&) {
-                        dialling_ = false;
-                        if (!conn) {
-                          if (!move) ++next_core_;
+                      [this, host](LineConn::Ptr conn, const asio::error_code&) {
+                        auto a = asked_cores_.find(host);
+                        if (!conn || a == asked_cores_.end() || a->second.conn) {
+                          if (conn) conn->close();
+                          if (!conn && a != asked_cores_.end() && !a->second.conn) asked_cores_.erase(a);
                           return;
                         }
-                        if (core_) core_->close();
-                        take_core(conn, host);
+                        a->second.conn = conn;
+                        conn->start({[this, conn, host](std::string_view line) { on_line(conn, host, line); },
+                                     [this, conn, host](LineConn::End) {
+                                       auto x = asked_cores_.find(host);
+                                       if (x != asked_cores_.end() && x->second.conn == conn)
+                                         asked_cores_.erase(x);
+                                       if (core_ == conn) drop_core();
+                                     },
+                                     [this] { loop_.rearm(); }});
+                        conn->send(Json{{"t", "who"}}.dump() + "\n");
                       });
   }
 
+  void on_line(const LineConn::Ptr& conn, const std::string& host, std::string_view line) {
+    if (core_ == conn) return on_core(line);
+    auto a = asked_cores_.find(host);
+    if (a == asked_cores_.end() || a->second.conn != conn) return;
+    Json m = Json::parse(line, nullptr, false);
+    if (!m.is_object() || m.value("t", "") != "cores") return;
+    learn_cores(m["l"]);
+    bool home = zone_of(host) == settings_.zone;
+    bool wanted = !core_ || (home && core_zone_ != settings_.zone) || loop_.now() - heard_ > kCoreAnswerMs;
+    asked_cores_.erase(a);
+    if (!m.value("ok", false) || !wanted) return conn->close();
+    take_core(conn, host);
+  }
+
+  std::string zone_of(const std::string& host) const {
+    for (auto& c : cores_)
+      if (c.host == host) return c.zone;
+    return {};
+  }
+
   void take_core(const LineConn::Ptr& conn, const std::string& host) {
+    if (core_) core_->close();
     core_ = conn;
     core_host_ = host;
-    core_zone_.clear();
-    for (auto& c : cores_)
-      if (c.host == host) core_zone_ = c.zone;
+    core_zone_ = zone_of(host);
+    next_core_ = 0;
     heard_ = loop_.now();
-    conn->start({[this, conn](std::string_view line) {
-                   if (core_ == conn) on_core(line);
-                 },
-                 [this, conn](LineConn::End) {
-                   if (core_ == conn) drop_core();
-                 },
-                 [this] { loop_.rearm(); }});
+    try_home_at_ = heard_ + kCoreSilentMs * 3;
+    log_.say("Linked to core " + core_host_ + " in zone " + core_zone_ + ".");
+    for (auto& [other, a] : asked_cores_)
+      if (a.conn && core_zone_ == settings_.zone) a.conn->close();
+    if (core_zone_ == settings_.zone) asked_cores_.clear();
     conn->send(
         Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", number_}}.dump() +
         "\n");
@@ -149,7 +188,9 @@
 
   void renew(const Json& m) {
     last_renew_ = m;
-    if (core_) core_->send(m.dump() + "\n");
+    if (!core_) return;
+    if (asked_ <= heard_) asked_ = loop_.now();  // the oldest renewal without an answer
+    core_->send(m.dump() + "\n");
   }
 
   void on_core(std::string_view line) {
@@ -162,16 +203,7 @@
       drop_core();
     } else if (t == "cores" && m["l"].is_array()) {
       learn_cores(m["l"]);
-      for (auto& c : cores_)
-        if (c.host == core_host_) core_zone_ = c.zone;
-      if (core_zone_ != settings_.zone) {
-        for (auto& c : cores_)
-          if (c.zone == settings_.zone && c.host != core_host_ && !dialling_ && try_home_at_ == 0) {
-            try_home_at_ = loop_.now() + kCoreSilentMs * 3;
-            return dial(c.host, true);
-          }
-      }
-      log_.say("Linked to core " + core_host_ + " in zone " + core_zone_ + ".");
+      core_zone_ = zone_of(core_host_);
     } else if (t == "up") {
       auto rows = rows_from_json(m["r"]);
       std::uint64_t k = m.value("k", std::uint64_t(0));
@@ -218,8 +250,13 @@
   LineConn::Ptr core_, berth_;
   std::string core_host_, core_zone_;
   std::size_t next_core_ = 0;
-  bool dialling_ = false, ending_ = false, first_ = true;
-  Millis heard_ = 0, next_renew_ = 0, try_home_at_ = 0;
+  struct Asked {
+    LineConn::Ptr conn;
+    Millis since = 0;
+  };
+  std::map<std::string, Asked> asked_cores_;  // by host: asked for a place, no answer yet
+  bool ending_ = false;
+  Millis heard_ = 0, asked_ = 0, next_renew_ = 0, try_home_at_ = 0, ask_next_at_ = 0;
   Json last_renew_;
   Ledger rows_;
   std::uint64_t number_ = 0;
