--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -1,5 +1,6 @@
 // The proxy's process: joins the engine to sockets, to the tender's feed, and to the ready probe.
 #include <csignal>
+#include <set>
 
 #include "berth/engine.h"
 #include "keel/constants.h"
@@ -50,6 +51,10 @@
       touch();
       engine_.take_pace();
     });
+    loop_.every(kScarceIdleMs / 2, [this] {
+      touch();
+      engine_.shed_idle();
+    });
     connect_feed();
     loop_.run();
     return 0;
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -5,11 +5,11 @@
 #include <list>
 #include <unordered_map>
 
-#include "berth/chart.h"
 #include "berth/freshness.h"
 #include "berth/lvector.h"
 #include "berth/pace.h"
 #include "keel/timers.h"
+#include "ordinance/chart.h"
 #include "wire/wire.h"
 
 namespace pebblespindle::berth {
@@ -52,6 +52,8 @@
   // The lease runs until `until` and holds only for a chart at least at `number`.
   void lease(Millis until, std::uint64_t number, std::size_t members);
 
+  // Closes pooled connections that have been idle for too long.
+  void shed_idle();
   // Closes the windows in which the pace of the primaries is taken.
   void take_pace();
 
@@ -183,7 +185,9 @@
   // pool
   void acquire(Session& s, const InstanceId& id);
   void open(const InstanceId& id);
+  double fair_share(const InstanceId& id) const;
   std::size_t share(const InstanceId& id) const;
+  void limit(const InstanceId& id);
   void hand_out(const InstanceId& id);
   void give_back(Server& c);
   void close_off(const InstanceId& id);
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -128,7 +128,7 @@
     }
     auto code = wire::take(rest);
     if (word == "STMTERR" && code == "CONNLIMIT")
-      p.limit_until = now_ + kAvoidMs;
+      limit(instance);
     else
       close_off(instance);
     drop_server(id, false);
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -158,21 +158,23 @@
       // A session starts with the node's vector: that of the replica at home, else none.
       s.vector = LVector();
       s.vector_service = route.service;
-      for (auto& [id, i] : chart_.instances())
-        if (i.service == route.service && i.zone == zone_ && pools_.count(id)) s.vector = pools_[id].vector;
+      for (auto* i : chart_.of(route.service))
+        if (i->zone == zone_ && pools_.count(i->id)) s.vector = pools_[i->id].vector;
     }
     require = std::max(require, s.vector.newest());
   }
   const Lead* lead = chart_.lead(route.service);
   double quickest = 0;
-  for (auto& [id, i] : chart_.instances()) {
-    double ms = i.service == route.service && usable(i) ? latency(id, route.name) : 0;
+  for (auto* i : chart_.of(route.service)) {
+    double ms = usable(*i) ? latency(i->id, route.name) : 0;
     if (ms > 0 && (quickest == 0 || ms < quickest)) quickest = ms;
   }
   const Instance* best = nullptr;
   long best_cost = 0;
-  for (auto& [id, i] : chart_.instances()) {
-    if (i.service != route.service || !usable(i)) continue;
+  for (auto* instance : chart_.of(route.service)) {
+    const Instance& i = *instance;
+    const InstanceId& id = i.id;
+    if (!usable(i)) continue;
     if (std::find(s.work.tried.begin(), s.work.tried.end(), id) != s.work.tried.end()) continue;
     bool leads = lead && lead->primary == id;
     if (leads && primary.kind != Choice::Kind::kGo) continue;
@@ -249,12 +251,32 @@
 
 // --- pools ----------------------------------------------------------------------------
 
-std::size_t Engine::share(const InstanceId& id) const {
+// How many connections to a database fall to each node; below one, not all nodes can keep one.
+double Engine::fair_share(const InstanceId& id) const {
   const Instance* i = chart_.instance(id);
   if (!i) return 0;
   auto it = chart_.config().services.find(i->service);
   int cap = it == chart_.config().services.end() ? 16 : it->second.max_connections;
-  return std::max<std::size_t>(1, std::size_t(std::max(1, cap - kConnReservePerDatabase)) / members_);
+  return double(std::max(1, cap - kConnReservePerDatabase)) / double(members_);
+}
+
+// Where connections are scarce a node may open a few, but keeps at most one, and that not for long: what
+// all nodes use at one moment is far below the cap, what all nodes would keep is not.
+std::size_t Engine::share(const InstanceId& id) const {
+  double fair = fair_share(id);
+  if (fair == 0) return 0;
+  return fair < kScarceShare ? kScarceMost : std::size_t(fair);
+}
+
+void Engine::shed_idle() {
+  for (auto& [id, p] : pools_) {
+    if (p.idle.empty()) continue;
+    Millis keep = fair_share(id) < kScarceShare ? kScarceIdleMs : kIdleShedMs;
+    std::vector<ConnId> old;
+    for (auto c : p.idle)
+      if (Server* x = server(c); x && now_ - x->idle_since >= keep) old.push_back(c);
+    for (auto c : old) drop_server(c, true);
+  }
 }
 
 void Engine::acquire(Session& s, const InstanceId& id) {
@@ -340,7 +362,8 @@
   c.idle_since = now_;
   Pool& p = pools_[c.instance];
   InstanceId id = c.instance;
-  if (!chart_.instance(id) || p.total > share(id)) return drop_server(c.id, true);
+  bool surplus = p.waiting.empty() && !p.idle.empty() && fair_share(id) < kScarceShare;
+  if (!chart_.instance(id) || p.total > share(id) || surplus) return drop_server(c.id, true);
   p.idle.push_back(c.id);
   hand_out(id);
 }
@@ -360,6 +383,17 @@
     open(instance);
 }
 
+// The database takes no more connections for now; those who wait get theirs in a moment, if one is free.
+void Engine::limit(const InstanceId& id) {
+  Pool& p = pools_[id];
+  if (now_ < p.limit_until) return;
+  p.limit_until = now_ + kLimitPauseMs;
+  timers_.at(p.limit_until, [this, id] {
+    Pool& x = pools_[id];
+    if (x.opening < x.waiting.size() && x.total < share(id) && !x.closed_off) open(id);
+  });
+}
+
 // Those who wait for this database look around anew.
 void Engine::redo_waiting(const InstanceId& id) {
   auto q = std::move(pools_[id].waiting);
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -8,27 +8,35 @@
 namespace pebblespindle::duty {
 using namespace constants;
 
-std::vector<Instance> Failover::members(const std::string& service) const {
+const Chart& Failover::chart() {
+  chart_.follow(ledger_);
+  return chart_;
+}
+
+std::vector<Instance> Failover::members(const std::string& service) {
   std::vector<Instance> out;
-  ledger_.each("i/", [&](const Row& r) {
-    auto i = Instance::from({r.key.substr(2)}, r.value);
-    if (i && i->service == service) out.push_back(*i);
-  });
+  for (auto* i : chart().of(service)) out.push_back(*i);
   return out;
 }
 
-std::optional<Lead> Failover::lead(const std::string& service) const {
-  const Row* r = ledger_.find(lead_key(service));
-  return r ? Lead::from(r->value) : std::nullopt;
+std::optional<Lead> Failover::lead(const std::string& service) {
+  const Lead* l = chart().lead(service);
+  return l ? std::optional(*l) : std::nullopt;
+}
+
+std::optional<Instance> Failover::instance(const InstanceId& id) {
+  const Instance* i = chart().instance(id);
+  return i ? std::optional(*i) : std::nullopt;
+}
+
+int Failover::sync_replicas(const std::string& service) {
+  auto& services = chart().config().services;
+  auto it = services.find(service);
+  return it == services.end() ? 1 : it->second.sync_replicas;
 }
 
-int Failover::sync_replicas(const std::string& service) const {
-  const Row* r = ledger_.find(kConfigKey);
-  if (!r) return 1;
-  auto c = read_configuration(r->value);
-  if (!c) return 1;
-  auto it = c.value->services.find(service);
-  return it == c.value->services.end() ? 1 : it->second.sync_replicas;
+bool Failover::busy() const {
+  return std::any_of(jobs_.begin(), jobs_.end(), [](auto& j) { return j.second.step != Step::kIdle; });
 }
 
 void Failover::go(Job& job, Step step) {
@@ -101,7 +109,7 @@
     return;
   }
   std::vector<std::string> services;
-  ledger_.each("s/", [&](const Row& r) { services.push_back(r.key.substr(2)); });
+  for (auto& [service, l] : chart().leads()) services.push_back(service);
   for (auto& s : services) {
     consider(now, s, jobs_[s]);
     release(now, s);
@@ -120,11 +128,10 @@
         return go(job, Step::kHolding);
       }
       if (now < job.retry_at) return;
-      const Row* row = ledger_.find(instance_key(l->primary));
-      auto primary = row ? Instance::from(l->primary, row->value) : std::nullopt;
-      auto all = members(service);
+      auto primary = instance(l->primary);
+      auto& all = chart().of(service);
       bool successor = std::any_of(all.begin(), all.end(),
-                                   [&](const Instance& i) { return i.id != l->primary && !i.draining; });
+                                   [&](const Instance* i) { return i->id != l->primary && !i->draining; });
       if (!successor) return;
       if (!primary) return begin(now, service, *l, false, "the primary has left");
       if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
@@ -296,8 +303,7 @@
     whom.push_back(i);
     if (!furthest || r->second.info.received > *furthest) furthest = r->second.info.received;
   }
-  const Row* old = ledger_.find(instance_key(l->primary));
-  auto former = old ? Instance::from(l->primary, old->value) : std::nullopt;
+  auto former = instance(l->primary);
   if (missing && l->planned && former && !former->draining && !job.called) return abandon(now, service, job);
   if (whom.empty() || (missing && must_have_all)) {
     // Which commits the one out of reach holds is not known: nothing is promoted over it.
@@ -347,8 +353,7 @@
 }
 
 void Failover::confirm_lead(Millis now, const std::string& service, Job& job) {
-  const Row* row = ledger_.find(instance_key(job.successor));
-  auto i = row ? Instance::from(job.successor, row->value) : std::nullopt;
+  auto i = instance(job.successor);
   if (!i) return again(now, job);
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "chain/node.h"
-#include "ordinance/records.h"
+#include "ordinance/chart.h"
 #include "wire/wire.h"
 
 namespace pebblespindle::duty {
@@ -32,6 +32,7 @@
   Failover(const Ledger& ledger, Out out) : ledger_(ledger), out_(std::move(out)) {}
 
   void tick(Millis now);
+  bool busy() const;  // a switch is under way
   // A node met trouble with a database.
   void suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
                bool refused);
@@ -65,8 +66,10 @@
     Millis quiet_until = 0;
     bool asking = false;
   };
-  std::vector<Instance> members(const std::string& service) const;
-  std::optional<Lead> lead(const std::string& service) const;
+  std::vector<Instance> members(const std::string& service);
+  std::optional<Lead> lead(const std::string& service);
+  std::optional<Instance> instance(const InstanceId& id);
+  const Chart& chart();
   void consider(Millis now, const std::string& service, Job& job);
   void begin(Millis now, const std::string& service, const Lead& lead, bool planned, const std::string& why);
   void go(Job& job, Step step);
@@ -83,9 +86,10 @@
                const std::string& statement, std::function<void()> then);
   std::size_t zones_missing(const InstanceId& id);
   bool found_slow(const std::string& service, const InstanceId& id);
-  int sync_replicas(const std::string& service) const;
+  int sync_replicas(const std::string& service);
 
   const Ledger& ledger_;
+  Chart chart_;
   Out out_;
   Millis now_ = 0;
   std::map<std::string, Job> jobs_;
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -261,7 +261,7 @@
     }
     feed(*t);
     tell_peers(false);
-    failover_->tick(now);
+    if (failover_->busy()) failover_->tick(now);  // it may wait for this acknowledgement
   } else if (kind == "sus") {
     Json report = m;
     report["z"] = t->zone;
@@ -297,10 +297,13 @@
 void Harbourmaster::feed(Tender& t) {
   // Only whole, committed states go out: between two changes of a row there is nothing to send.
   if (!t.greeted || !node_->settled() || t.sent >= node_->committed()) return;
-  t.conn->send(
-      Json{{"t", "up"}, {"k", node_->committed()}, {"r", rows_to_json(node_->ledger().since(t.sent))}}
-          .dump() +
-      "\n");
+  // Most nodes stand at the same number: what one is told, the next is told as well.
+  if (news_.from != t.sent || news_.to != node_->committed() || news_.life != node_->ledger().lives())
+    news_ = {t.sent, node_->committed(), node_->ledger().lives(),
+             Json{{"t", "up"}, {"k", node_->committed()}, {"r", rows_to_json(node_->ledger().since(t.sent))}}
+                     .dump() +
+                 "\n"};
+  t.conn->send(news_.line);
   t.sent = node_->committed();
 }
 
@@ -319,11 +322,9 @@
   Millis now = loop_.now();
   std::uint64_t acked = roster_.acknowledged(now, node_->ledger().stored());
   std::size_t nodes = roster_.count(now);
-  bool holding = false;
-  node_->ledger().each("s/", [&](const Row& r) {
-    auto l = Lead::from(r.value);
-    holding = holding || (l && l->hold);
-  });
+  chart_.follow(node_->ledger());
+  bool holding =
+      std::any_of(chart_.leads().begin(), chart_.leads().end(), [](auto& l) { return l.second.hold; });
   bool due =
       always || now >= told_at_ + kCoreSilentMs || nodes != told_nodes_ || (holding && acked != told_acked_);
   if (!due) return;
@@ -459,24 +460,19 @@
   }
   for (auto& [name, e] : roster_.nodes())
     nodes[name] = {{"zone", e.zone}, {"acknowledged", e.acked}, {"lease_ms", e.until - now}};
-  node_->ledger().each("i/", [&](const Row& r) {
-    Json i = Json::parse(r.value, nullptr, false);
-    databases.push_back({{"id", r.key.substr(2)},
-                         {"service", i["s"]},
-                         {"zone", i["z"]},
-                         {"address", i["a"]},
-                         {"draining", i["d"]},
-                         {"primary", i["p"]}});
-  });
-  node_->ledger().each("s/", [&](const Row& r) {
-    auto l = Lead::from(r.value);
-    if (l)
-      leads[r.key.substr(2)] = {{"primary", l->primary.value}, {"suspended", l->hold}, {"term", l->term}};
-  });
-  const Row* c = node_->ledger().find(kConfigKey);
+  Chart chart;
+  chart.follow(node_->ledger());
+  for (auto& [id, i] : chart.instances())
+    databases.push_back({{"id", id.value},
+                         {"service", i.service},
+                         {"zone", i.zone},
+                         {"address", i.address.text()},
+                         {"draining", i.draining},
+                         {"primary", i.primary}});
+  for (auto& [service, l] : chart.leads())
+    leads[service] = {{"primary", l.primary.value}, {"suspended", l.hold}, {"term", l.term}};
   Json revision;
-  if (c)
-    if (auto parsed = read_configuration(c->value)) revision = parsed.value->revision;
+  if (chart.fed()) revision = chart.config().revision;
   return {
       {"core", settings_.node_name},
       {"name", node_->self()},
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -38,6 +38,10 @@
     std::size_t nodes = 0;
     Millis told = -100000;
   };
+  struct News {  // what the last node was fed
+    std::uint64_t from = 0, to = 0, life = 0;
+    std::string line;
+  };
   struct Tender {
     LineConn::Ptr conn;
     std::string node, zone;
@@ -83,6 +87,8 @@
   std::map<std::shared_ptr<Tender>, bool> tenders_;
   std::unique_ptr<Acceptor> inner_;
   std::unique_ptr<HttpServer> control_;
+  News news_;
+  Chart chart_;  // of what the ledger holds
   std::uint64_t told_acked_ = 0;
   std::size_t told_nodes_ = 0;
   Millis told_at_ = 0, born_ = loop_.now(), seated_at_;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -69,10 +69,14 @@
 constexpr std::int64_t kFirstFeedMs =
     1000;  // ms; sessions wait this long for a berth that just started; clients wait two seconds for IDLE
 constexpr std::int64_t kServerConnectMs =
-    1000;                               // ms; a new connection answers within tens of ms when healthy
-constexpr std::int64_t kAvoidMs = 500;  // ms; after CONNLIMIT no further connection is opened for this long
-constexpr std::int64_t kTrialFirstMs = 50;     // ms; a closed-off database is first tried again after this
-constexpr std::int64_t kTrialMostMs = 1600;    // ms; trials are spaced at most this far: one connection each
+    1000;  // ms; a new connection answers within tens of ms when healthy
+constexpr std::int64_t kLimitPauseMs =
+    25;  // ms; after CONNLIMIT: other nodes hand connections back within a few answers
+constexpr double kScarceShare = 2.0;         // connections a node; below this not every node can keep its own
+constexpr std::size_t kScarceMost = 3;       // connections a node opens to one database where they are scarce
+constexpr std::int64_t kScarceIdleMs = 500;  // ms; a busy database is asked again sooner; others let go
+constexpr std::int64_t kTrialFirstMs = 50;   // ms; a closed-off database is first tried again after this
+constexpr std::int64_t kTrialMostMs = 1600;  // ms; trials are spaced at most this far: one connection each
 constexpr std::int64_t kLaggingAvoidMs = 60;   // ms; a replica that answered LAGGING gets time to apply
 constexpr std::int64_t kDrainGuardMs = 1000;   // ms; stop this long before DrainMs runs out
 constexpr std::int64_t kSwitchDrainMs = 250;   // ms; running work may end at a primary that hands over
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -40,6 +40,7 @@
 
 void Ledger::put(const Row& row) {
   rows_[row.key] = row;
+  ++changes_;
   stored_ = std::max(stored_, row.number);
 }
 
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -26,9 +26,12 @@
   void clear() {
     rows_.clear();
     stored_ = 0;
+    ++lives_;
   }
   std::uint64_t stored() const { return stored_; }
   void set_stored(std::uint64_t n) { stored_ = n; }
+  std::uint64_t changes() const { return changes_; }   // rises with every row put
+  std::uint64_t lives() const { return lives_; }       // rises when the state is taken anew
   std::vector<Row> since(std::uint64_t number) const;  // rows above number, in number order
   template <class F>
   void each(const std::string& prefix, F f) const {
@@ -38,7 +41,7 @@
 
  private:
   std::map<std::string, Row> rows_;
-  std::uint64_t stored_ = 0;
+  std::uint64_t stored_ = 0, changes_ = 0, lives_ = 1;
 };
 
 // What a disk must do in one step, all or nothing.
--- a/src/berth/chart.cc
+++ b/src/ordinance/chart.cc
@@ -1,11 +1,12 @@
-#include "berth/chart.h"
+#include "ordinance/chart.h"
 
-namespace pebblespindle::berth {
+namespace pebblespindle {
 
 bool Chart::apply(std::uint64_t number, const std::vector<Row>& rows) {
   if (number <= number_) return false;
   std::uint64_t before = number_;
   number_ = number;
+  bool moved = false;
   for (auto& r : rows) {
     if (r.number <= before) continue;
     if (r.key == kConfigKey) {
@@ -21,6 +22,7 @@
         instances_[id] = *i;
       else
         instances_.erase(id);
+      moved = true;
     } else if (r.key.starts_with("s/")) {
       auto l = r.gone ? std::nullopt : Lead::from(r.value);
       if (l)
@@ -29,9 +31,25 @@
         leads_.erase(r.key.substr(2));
     }
   }
+  if (moved) index();
   return true;
 }
 
+void Chart::follow(const Ledger& ledger) {
+  if (ledger.changes() == changes_ && ledger.lives() == lives_) return;
+  if (ledger.lives() != lives_) {  // the ledger was taken anew: its numbers may stand for other rows
+    *this = Chart();
+    lives_ = ledger.lives();
+  }
+  changes_ = ledger.changes();
+  apply(ledger.stored(), ledger.since(number_));
+}
+
+void Chart::index() {
+  by_service_.clear();
+  for (auto& [id, i] : instances_) by_service_[i.service].push_back(&i);
+}
+
 std::shared_ptr<const Route> Chart::route(const std::string& host) const {
   auto it = routes_.find(host);
   return it == routes_.end() ? nullptr : it->second;
@@ -42,9 +60,15 @@
   return it == instances_.end() ? nullptr : &it->second;
 }
 
+const std::vector<const Instance*>& Chart::of(const std::string& service) const {
+  static const std::vector<const Instance*> none;
+  auto it = by_service_.find(service);
+  return it == by_service_.end() ? none : it->second;
+}
+
 const Lead* Chart::lead(const std::string& service) const {
   auto it = leads_.find(service);
   return it == leads_.end() ? nullptr : &it->second;
 }
 
-}  // namespace pebblespindle::berth
+}  // namespace pebblespindle
--- a/src/berth/chart.h
+++ b/src/ordinance/chart.h
@@ -1,18 +1,20 @@
-// What a berth knows of the control state: configuration, databases and leads, from numbered rows.
+// The control state read into types, and kept so as rows change: configuration, databases, leads.
 #pragma once
 #include <map>
 #include <memory>
-#include <set>
+#include <vector>
 
 #include "ledger/ledger.h"
 #include "ordinance/records.h"
 
-namespace pebblespindle::berth {
+namespace pebblespindle {
 
 class Chart {
  public:
   // Applies rows up to number; older numbers are ignored. True when something changed.
   bool apply(std::uint64_t number, const std::vector<Row>& rows);
+  // Brings the chart to what a ledger holds; costs nothing while the ledger has not changed.
+  void follow(const Ledger& ledger);
 
   std::uint64_t number() const { return number_; }
   bool fed() const { return config_.revision > 0; }
@@ -20,14 +22,18 @@
   std::shared_ptr<const Route> route(const std::string& host) const;
   const std::map<InstanceId, Instance>& instances() const { return instances_; }
   const Instance* instance(const InstanceId& id) const;
+  const std::vector<const Instance*>& of(const std::string& service) const;
+  const std::map<std::string, Lead>& leads() const { return leads_; }
   const Lead* lead(const std::string& service) const;
 
  private:
-  std::uint64_t number_ = 0;
+  void index();
+  std::uint64_t number_ = 0, changes_ = 0, lives_ = 0;
   Configuration config_;
   std::map<std::string, std::shared_ptr<const Route>> routes_;
   std::map<InstanceId, Instance> instances_;
+  std::map<std::string, std::vector<const Instance*>> by_service_;
   std::map<std::string, Lead> leads_;
 };
 
-}  // namespace pebblespindle::berth
+}  // namespace pebblespindle
