Handing over: a commit that only a departing replica has received is not left behind

Change: once a node has acknowledged a suspension it passes no commit of that database on as kept (UNKNOWN); only then is a living primary asked where it stands, and no replica that stands below is promoted. With a dead primary those that left within 3 s are asked as well. Nobody is let go again once a promote may have been called. The log tells where each stood. Ruled out: waiting until nothing runs at a slow primary (seconds), holding a vacant address against a switch (for ever).

--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -181,6 +181,7 @@
   void refuse(Session& s, const std::string& code, const std::string& why);
   Millis hold_limit(const Session& s) const;
   bool update_allowed(Session& s, const InstanceId& primary);
+  bool leads(const std::string& service, const InstanceId& id) const;
 
   // pool
   void acquire(Session& s, const InstanceId& id);
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -237,6 +237,8 @@
       s->vector_service = c.service;
     }
   }
+  bool wrote = w.verb == Verb::kCommit ? s->tx_wrote : !w.read && s->state != 'T';
+  if (wrote && c.error_code.empty() && !leads(c.service, c.instance)) return server_down(c.id, false, false);
   std::string code = std::move(c.error_code), text = std::move(c.error_text);
   bool tx = s->state == 'T';
   bool movable = !tx || !s->tx_touched;
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -124,6 +124,15 @@
   return true;
 }
 
+// Whether a commit of this database may be passed on as kept: not once its suspension is acknowledged from
+// here, for from then on another may be promoted without it.
+bool Engine::leads(const std::string& service, const InstanceId& id) const {
+  const Lead* l = chart_.lead(service);
+  if (!l || l->primary != id) return false;
+  auto s = suspended_since_.find(service);
+  return !l->hold || (s != suspended_since_.end() && s->second >= 0);
+}
+
 // What this database takes for a statement of the route, of late; 0 when that is not known.
 double Engine::latency(const InstanceId& id, const std::string& route) const {
   auto p = pools_.find(id);
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -9,7 +9,13 @@
 using namespace constants;
 
 const Chart& Failover::chart() {
-  chart_.follow(ledger_);
+  if (!chart_.follow(ledger_)) return chart_;
+  std::erase_if(known_, [&](auto& k) {
+    if (chart_.instance(k.first)) return false;
+    departed_.push_back({k.second, now_});
+    return true;
+  });
+  for (auto& [id, i] : chart_.instances()) known_[id] = i;
   return chart_;
 }
 
@@ -19,6 +25,20 @@
   return out;
 }
 
+// One that has told of its end goes on receiving until it ends: what it has received counts, unless the
+// primary tells what does.
+std::vector<Instance> Failover::receivers(const std::string& service, const Job& job) {
+  auto out = members(service);
+  if (!job.committed.none()) return out;
+  std::erase_if(departed_, [&](auto& d) { return now_ > d.since + kDepartedMs; });
+  for (auto& d : departed_)
+    if (d.instance.service == service) {
+      out.push_back(d.instance);
+      out.back().draining = true;
+    }
+  return out;
+}
+
 std::optional<Lead> Failover::lead(const std::string& service) {
   const Lead* l = chart().lead(service);
   return l ? std::optional(*l) : std::nullopt;
@@ -103,6 +123,7 @@
 
 void Failover::tick(Millis now) {
   now_ = now;
+  chart();
   if (!out_.holds()) {
     jobs_.clear();
     releases_.clear();
@@ -235,18 +256,21 @@
   go(job, Step::kSurvey);
   auto l = lead(service);
   if (!l) return;
-  auto whom = members(service);
-  // The old primary is asked too, but not waited for: it may be dead or slow, and what it has acknowledged is
-  // on the replicas.
-  for (auto& i : whom)
-    if (i.id == l->primary) {
-      std::uint64_t round = job.round;
-      out_.ask(i, "INFO", [this, service, round, id = i.id](DbReply r) {
-        auto& j = jobs_[service];
-        if (j.round == round && j.step == Step::kSurvey) j.replies[id] = r;
-      });
-    }
-  std::erase_if(whom, [&](auto& i) { return i.id == l->primary; });
+  // A primary that is said to be alive is waited for: what it has committed must not be left behind. One that
+  // may be dead is asked as well, but not waited for: what it has acknowledged is on the replicas.
+  bool wait = l->planned && !job.called && job.blind < kBlindTries;
+  auto whom = wait ? members(service) : receivers(service, job);
+  if (!wait) {
+    for (auto& i : whom)
+      if (i.id == l->primary) {
+        std::uint64_t round = job.round;
+        out_.ask(i, "INFO", [this, service, round, id = i.id](DbReply r) {
+          auto& j = jobs_[service];
+          if (j.round == round && j.step == Step::kSurvey) j.replies[id] = r;
+        });
+      }
+    std::erase_if(whom, [&](auto& i) { return i.id == l->primary; });
+  }
   if (whom.empty()) return again(now, job);
   ask_all(service, job, whom, "INFO", [this, service] { surveyed(now_, service, jobs_[service]); });
 }
@@ -262,21 +286,24 @@
     if (r.error.starts_with("WRONGNODE")) out_.submit(leave_update(id), [](chain::Answer) {});
     if (r.kind != DbReply::Kind::kRow) continue;
     newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
-    if (id == l->primary && r.info.primary) old_term = r.info.term;
+    if (id == l->primary && r.info.primary) {
+      old_term = r.info.term;
+      job.committed = r.info.received;
+    }
     if (id != l->primary && r.info.primary && r.info.term > leader_term)
       leader = id, leader_term = r.info.term;
   }
   if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
   if (newest == 0) return again(now, job);  // nobody told a term
   bool alive = old_term > 0;
+  if (!alive && l->planned && !job.called && ++job.blind < kBlindTries) return again(now, job);
   if (alive && !l->planned && !job.called) return abandon(now, service, job);
   std::vector<Instance> whom;
-  for (auto& i : members(service))
+  for (auto& i : receivers(service, job))
     if (i.id != l->primary) whom.push_back(i);
   if (whom.empty()) return again(now, job);
   job.term = newest;
   go(job, Step::kPausing);
-  auto survey = job.replies;
   ask_all(service, job, whom, "PAUSE " + std::to_string(newest + 1),
           [this, service] { paused(now_, service, jobs_[service]); });
 }
@@ -289,9 +316,13 @@
   bool missing = false;
   std::string out_of_reach;
   std::vector<Instance> whom;
-  for (auto& i : members(service)) {
+  for (auto& i : receivers(service, job)) {
     if (i.id == l->primary) continue;
     auto r = job.replies.find(i.id);
+    // One that has told of its end, and has ended.
+    bool ended = r != job.replies.end() &&
+                 (r->second.kind == DbReply::Kind::kRefused || r->second.error.starts_with("WRONGNODE"));
+    if (ended && !chart().instance(i.id)) continue;
     if (r == job.replies.end() || r->second.kind != DbReply::Kind::kRow) {
       missing = true;
       const char* how[] = {"a row", "an error", "a refusal", "silence"};
@@ -310,6 +341,15 @@
     if (now > job.since) out_.note("Failover of " + service + " waits: " + out_of_reach + ".");
     return again(now, job);
   }
+  // Once a promote may have been called, nobody is let go again: it may still take effect.
+  if (*furthest < job.committed && !job.called) {
+    // Something was committed with the help of a database that is not known here: let the others receive it.
+    out_.note("Failover of " + service + " waits: the replicas stand at " + furthest->text() +
+              ", the primary at " + job.committed.text() + ".");
+    ++job.round;
+    ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
+    return;
+  }
   const Instance* best = nullptr;
   for (auto& i : whom) {
     if (job.replies[i.id].info.received != *furthest) continue;
@@ -317,7 +357,7 @@
         (best->draining == i.draining && job.replies[i.id].info.lag_ms < job.replies[best->id].info.lag_ms))
       best = &i;
   }
-  if (best->draining && l->planned) {
+  if (best->draining && l->planned && !job.called) {
     bool other = std::any_of(whom.begin(), whom.end(), [](auto& i) { return !i.draining; });
     // One that stays will have caught up in a moment: let the replicas receive once more.
     if (other) {
@@ -335,7 +375,11 @@
   go(job, Step::kPromoting);
   job.called = true;
   std::uint64_t round = job.round;
-  out_.note("Failover of " + service + " promotes " + job.successor.value + ".");
+  std::string seen;
+  for (auto& [id, r] : job.replies)
+    if (r.kind == DbReply::Kind::kRow)
+      seen += (seen.empty() ? "" : ", ") + id.value + " at " + r.info.received.text();
+  out_.note("Failover of " + service + " promotes " + job.successor.value + " (" + seen + ").");
   out_.promote(service, job.successor, [this, service, round](int status) {
     auto& j = jobs_[service];
     if (j.round != round) return;
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -55,6 +55,8 @@
     Millis held_since = 0;
     std::uint64_t held_number = 0;
     std::uint64_t term = 0;
+    Position committed;   // where a living primary stood once nobody was told of commits any more
+    int blind = 0;        // tries in which a primary said to be alive did not tell that
     bool called = false;  // a promote may have been taken
     bool told = false;
   };
@@ -67,6 +69,7 @@
     bool asking = false;
   };
   std::vector<Instance> members(const std::string& service);
+  std::vector<Instance> receivers(const std::string& service, const Job& job);
   std::optional<Lead> lead(const std::string& service);
   std::optional<Instance> instance(const InstanceId& id);
   const Chart& chart();
@@ -90,6 +93,12 @@
 
   const Ledger& ledger_;
   Chart chart_;
+  struct Departed {
+    Instance instance;
+    Millis since = 0;
+  };
+  std::map<InstanceId, Instance> known_;
+  std::vector<Departed> departed_;
   Out out_;
   Millis now_ = 0;
   std::map<std::string, Job> jobs_;
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -377,7 +377,8 @@
     if (r.method == "PUT") return on_beat(id, r, answer);
     if (r.method == "DELETE") {
       if (!may_grant()) return answer(plain(503, "out of the view"));
-      return node_->submit(loop_.now(), leave_update({id}), [answer](chain::Answer a) {
+      return node_->submit(loop_.now(), leave_update({id}), [this, id, answer](chain::Answer a) {
+        if (a.status == 200) log_.say("Database " + id + " has left.");
         answer(a.status == 200 ? HttpReply{} : plain(503, a.reason));
       });
     }
@@ -406,8 +407,14 @@
   auto old = row && !row->gone ? Instance::from(i.id, row->value) : std::nullopt;
   bool plain_renewal = row && (row->gone || (old && old->same_but_calls(i)));
   if (plain_renewal && node_->settled()) return done({200, beat_answer(i), {}});
-  node_->submit(loop_.now(), instance_update(i), [this, i, done](chain::Answer a) {
+  std::string news;
+  if (!old)
+    news = " joins at " + i.address.text() + (i.primary ? " as primary." : " as replica.");
+  else if (i.draining && !old->draining)
+    news = " is leaving.";
+  node_->submit(loop_.now(), instance_update(i), [this, i, done, news](chain::Answer a) {
     if (a.status != 200) return done(plain(a.status == 0 ? 503 : a.status, a.reason));
+    if (!news.empty()) log_.say("Database " + i.id.value + " of " + i.service + news);
     done({200, beat_answer(i), {}});
     if (i.primary) {
       if (node_->leads(loop_.now()))
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -60,7 +60,10 @@
 constexpr std::int64_t kSwitchRetryMs = 400;     // ms; pause before an unfinished switch is taken up again
 constexpr std::int64_t kSuspectQuietMs = 1500;   // ms; an answered INFO clears suspicion for this long
 constexpr std::int64_t kSuspectWindowMs = 3000;  // ms; reports older than this no longer count
-constexpr int kMissedBeats = 2;                  // beats; a silent primary must also have missed this many
+constexpr std::int64_t kDepartedMs =
+    3000;  // ms; a database that has told of its end is asked this long; it ends within a second or two
+constexpr int kBlindTries =
+    3;  // tries to learn where a leaving primary stands; then the replicas alone count
 
 // --- berth ------------------------------------------------------------------
 constexpr std::int64_t kFreshMarginMs = 40;      // ms; subtracted from stale_ms for the way to the database
--- a/src/ordinance/chart.cc
+++ b/src/ordinance/chart.cc
@@ -35,14 +35,14 @@
   return true;
 }
 
-void Chart::follow(const Ledger& ledger) {
-  if (ledger.changes() == changes_ && ledger.lives() == lives_) return;
+bool Chart::follow(const Ledger& ledger) {
+  if (ledger.changes() == changes_ && ledger.lives() == lives_) return false;
   if (ledger.lives() != lives_) {  // the ledger was taken anew: its numbers may stand for other rows
     *this = Chart();
     lives_ = ledger.lives();
   }
   changes_ = ledger.changes();
-  apply(ledger.stored(), ledger.since(number_));
+  return apply(ledger.stored(), ledger.since(number_));
 }
 
 void Chart::index() {
--- a/src/ordinance/chart.h
+++ b/src/ordinance/chart.h
@@ -13,8 +13,8 @@
  public:
   // Applies rows up to number; older numbers are ignored. True when something changed.
   bool apply(std::uint64_t number, const std::vector<Row>& rows);
-  // Brings the chart to what a ledger holds; costs nothing while the ledger has not changed.
-  void follow(const Ledger& ledger);
+  // Brings the chart to what a ledger holds. False, and cheap, while the ledger has not changed.
+  bool follow(const Ledger& ledger);
 
   std::uint64_t number() const { return number_; }
   bool fed() const { return config_.revision > 0; }
