Nodes without a lease send their clients elsewhere

Change: a node whose lease has ended 0.3 s ago is unready, and closes a session after refusing it at rest; so does one that alone does not reach a primary for 2.5 s. The client comes back to a node that can serve. Ruled out: holding statements until the cut ends; closing all sessions at once (a wave of new connections).

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -32,6 +32,7 @@
     }
     auto http = HttpServer::listen(loop_.io(), ready->second, [this](HttpRequest r, HttpDone done) {
       if (r.path != "/readiness") return done({404, "", {}});
+      touch();
       done({engine_.ready() ? 200 : 503, "", {}});
     });
     if (!http) return refuse(http.reason);
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -57,7 +57,7 @@
   // Closes the windows in which the pace of the primaries is taken.
   void take_pace();
 
-  bool ready() const { return chart_.fed() && !leaving_; }
+  bool ready() const;
   std::uint64_t acknowledged() const;  // the change whose effect is complete here
   bool leaving() const { return leaving_; }
   void leave();       // unready; serves on for a while
@@ -135,7 +135,7 @@
     Millis lagging_until = 0, limit_until = 0;
     // Closed off: a trial connection must come up before sessions are sent there again.
     bool closed_off = false;
-    Millis trial_pause = 0;
+    Millis trial_pause = 0, closed_since = 0;
     Millis last_answer = 0, drain_since = -1;
     LVector vector;
     std::map<std::string, double> worst;  // by route: the longest answer of late, ms, slowly forgotten
@@ -179,6 +179,7 @@
   void hold(Session& s, const std::string& service);
   void release_held(const std::string& service);
   void refuse(Session& s, const std::string& code, const std::string& why);
+  bool cut_off(const std::string& service) const;
   Millis hold_limit(const Session& s) const;
   bool update_allowed(Session& s, const InstanceId& primary);
   bool leads(const std::string& service, const InstanceId& id) const;
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -254,8 +254,25 @@
 void Engine::refuse(Session& s, const std::string& code, const std::string& why) {
   end_work(s);
   SessionId id = s.id;
+  bool astray = s.route && cut_off(s.route->service);
   fail(s, code, "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms : 100) + " " + why);
-  if (Session* x = find(id)) pump(*x);
+  Session* x = find(id);
+  if (!x) return;
+  if (astray && x->state == 'I') return drop(id);  // it comes back to a node that can serve it
+  pump(*x);
+}
+
+// This node alone has no way to the primary: no core gives it a lease, or the primary that others go to
+// does not answer here.
+bool Engine::cut_off(const std::string& service) const {
+  if (lease_until_ > 0 && !leased() && now_ >= lease_until_) return true;
+  const Lead* l = chart_.lead(service);
+  auto p = l && !l->hold ? pools_.find(l->primary) : pools_.end();
+  return p != pools_.end() && p->second.closed_off && now_ >= p->second.closed_since + kCutOffMs;
+}
+
+bool Engine::ready() const {
+  return chart_.fed() && !leaving_ && (lease_until_ == 0 || now_ < lease_until_ + kUnleasedReadyMs);
 }
 
 // --- pools ----------------------------------------------------------------------------
@@ -449,6 +466,7 @@
   Pool& p = pools_[id];
   if (p.closed_off) return;
   p.closed_off = true;
+  if (p.trial_pause == 0) p.closed_since = now_;
   p.trial_pause = p.trial_pause == 0 ? kTrialFirstMs : std::min(p.trial_pause * 2, kTrialMostMs);
   std::vector<ConnId> idle = p.idle;
   for (auto c : idle) drop_server(c, false);
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -71,6 +71,10 @@
 constexpr std::int64_t kObservationKeepMs = 10000;  // ms; no route allows older positions than this
 constexpr std::int64_t kFirstFeedMs =
     1000;  // ms; sessions wait this long for a berth that just started; clients wait two seconds for IDLE
+constexpr std::int64_t kUnleasedReadyMs =
+    300;  // ms; a node whose lease ended this long ago asks for no new clients: others may serve them
+constexpr std::int64_t kCutOffMs =
+    2500;  // ms; a primary that others go to, unreachable from here this long: clients are sent elsewhere
 constexpr std::int64_t kServerConnectMs =
     1000;  // ms; a new connection answers within tens of ms when healthy
 constexpr std::int64_t kLimitPauseMs =
