Node leases of a second; resting sessions are sent away once a lease has ended

Cause: for 1.5 s after a cut the nodes on its wrong side kept sending to a primary that could acknowledge nothing, and a failover waited as long for their leases.

--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -279,6 +279,10 @@
 
 void Engine::close_idle() {
   closing_idle_ = true;
+  close_resting();
+}
+
+void Engine::close_resting() {
   std::vector<SessionId> idle;
   for (auto& [id, s] : sessions_)
     if (!s.busy && s.state == 'I' && s.lines.empty()) idle.push_back(id);
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -52,7 +52,7 @@
   // The lease runs until `until` and holds only for a chart at least at `number`.
   void lease(Millis until, std::uint64_t number, std::size_t members);
 
-  // Closes pooled connections that have been idle for too long.
+  // Closes pooled connections that have been idle for too long, and without a lease the sessions that rest.
   void shed_idle();
   // Closes the windows in which the pace of the primaries is taken.
   void take_pace();
@@ -157,6 +157,7 @@
 
   // session side
   void greet(SessionId id);
+  void close_resting();
   void pump(Session& s);
   void handle(Session& s, std::string_view line);
   void answer(Session& s, std::string body);  // body, then IDLE in the session's state
@@ -221,7 +222,7 @@
   Millis lease_until_ = 0;
   std::uint64_t lease_number_ = 0;
   std::size_t members_ = 1;
-  bool leaving_ = false, closing_idle_ = false;
+  bool sent_away_ = false, leaving_ = false, closing_idle_ = false;
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnId, Server> servers_;
   std::map<InstanceId, Pool> pools_;
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -84,6 +84,7 @@
   lease_until_ = std::max(lease_until_, until);
   lease_number_ = number;
   members_ = std::max<std::size_t>(1, members);
+  sent_away_ = false;
   if (chart_.fed())
     for (auto id : std::exchange(unfed_, {})) greet(id);
   if (had || !leased()) return;
@@ -295,6 +296,10 @@
 }
 
 void Engine::shed_idle() {
+  if (!sent_away_ && chart_.fed() && !leaving_ && !ready()) {
+    sent_away_ = true;  // once in each time without a lease
+    close_resting();
+  }
   for (auto& [id, p] : pools_) {
     if (p.idle.empty()) continue;
     Millis keep = fair_share(id) < kScarceShare ? kScarceIdleMs : kIdleShedMs;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -39,8 +39,8 @@
 
 // --- leases of nodes ------------------------------------------------------
 constexpr std::int64_t kNodeLeaseMs =
-    1500;  // ms; three missed renewals; bounds a failover's wait for a dead node
-constexpr std::int64_t kNodeRenewMs = 450;   // ms; three tries within a lease
+    1000;  // ms; three missed renewals; bounds a failover's wait for a dead node
+constexpr std::int64_t kNodeRenewMs = 300;   // ms; three tries within a lease
 constexpr std::int64_t kCoreSearchMs = 700;  // ms; a tender leaves a core that is silent this long
 constexpr std::int64_t kCoreAnswerMs =
     200;  // ms; a renewal unanswered this long: other cores are asked while the lease still runs
