Switches live through a change of view; cores that end or have a full disk say so

Change: a switch is forgotten only when the duty's token has changed; the wait for leases counts from the commit of the suspension alone; a disk is tried with a real write; a core that takes no part says so and gives its leases back.

--- a/src/chain/agreement.cc
+++ b/src/chain/agreement.cc
@@ -29,8 +29,8 @@
     bool away = lost(now, m.name, kCoreSilentMs);
     if (p != peers_.end()) {
       auto longer = [&](Millis since) { return since >= 0 && now - since > kCoreSilentMs; };
-      // It is heard but does not hear, or does not hold the view's state.
-      away = away || longer(p->second.out_of_step_since) || longer(p->second.unseated_since);
+      // It is heard but does not hear, does not hold the view's state, or says that it takes no part.
+      away = away || p->second.out || longer(p->second.out_of_step_since) || longer(p->second.unseated_since);
     }
     // Nothing comes back from the next member. The nearer to the tail, the sooner that is said, so that
     // the member at fault is named by the one before it.
@@ -73,7 +73,7 @@
     changed = true;
   }
   for (auto& [name, p] : peers_) {
-    if (view_.has(name) || p.heard < 0 || now - p.heard > kCoreBeatMs * 2) continue;
+    if (view_.has(name) || p.out || p.heard < 0 || now - p.heard > kCoreBeatMs * 2) continue;
     auto here = present_.find(host_of(name));
     if (here != present_.end() && here->second != name) continue;
     // It has been heard for a while, and has heard of the view.
@@ -121,7 +121,7 @@
   if (n != view_.number + 1 || !may_vote() || !view_.votes(from)) return;
   if (promised_.instance == n && promised_.ballot > b) return;
   promised_ = {n, b};
-  if (!save({})) return;
+  if (!save(now)) return;
   Json r{{"t", "prom"}, {"n", n}, {"b", b}, {"s", synced_}};
   if (accepted_view_ && accepted_.instance == n) {
     r["ab"] = accepted_.ballot;
@@ -176,7 +176,7 @@
   promised_ = {n, b};
   accepted_ = {n, b};
   accepted_view_ = v;
-  if (!save({})) return;
+  if (!save(now)) return;
   deliver(now, from, {{"t", "accd"}, {"n", n}, {"b", b}});
 }
 
@@ -209,7 +209,7 @@
   // The head's state is the state of the new view; all others take it from the member before them.
   bool head = me && v.head() == self_ && synced_ >= me->joined;
   if (head) synced_ = v.number;
-  if (!save({})) return;
+  if (!save(now)) return;
   std::string list, voters;
   for (auto& m : v.members) list += (list.empty() ? "" : ", ") + m.name;
   for (auto& n : v.voters) voters += (voters.empty() ? "" : ", ") + n;
--- a/src/chain/node.cc
+++ b/src/chain/node.cc
@@ -29,7 +29,7 @@
     for (auto& f : seeds) view_.members.push_back({f, 1});
     view_.voters = seeds;
     synced_ = 1;
-    save({});
+    save(now);
     return;
   }
   static const char* hex = "0123456789abcdef";
@@ -67,7 +67,7 @@
 }
 
 // Everything durable but the rows is small; it is written whole with each batch.
-bool Node::save(Batch b) {
+bool Node::save(Millis now, Batch b) {
   Json d{{"self", self_},          {"pi", promised_.instance},
          {"pb", promised_.ballot}, {"ai", accepted_.instance},
          {"ab", accepted_.ballot}, {"synced", synced_}};
@@ -78,6 +78,7 @@
   if (disk_.commit(b)) return true;
   // What memory holds is not what the disk holds: this core takes no part until it has read the disk anew.
   sick_ = true;
+  give_back(now);
   out_.note("The disk refuses a write. This core takes no part until it takes one again.");
   return false;
 }
@@ -86,13 +87,26 @@
 void Node::recover(Millis now) {
   if (now < try_disk_at_) return;
   try_disk_at_ = now + kDiskRetryMs;
-  if (!disk_.reopen() || !disk_.commit({})) return;
+  if (!disk_.reopen()) return;  // it has taken a trial write
   sick_ = false;
   load();
   unseated_since_ = now;
+  next_beat_ = now;
   out_.note("The disk takes writes again. This core takes part again.");
 }
 
+// Whoever takes no part says so, and acts on no lease it was given: the others need not wait for their end.
+void Node::give_back(Millis now) {
+  stepped_out_at_ = now;
+  for (auto& [name, p] : peers_) p.leased_from = -1;
+  beat(now);
+}
+
+void Node::step_out(Millis now) {
+  leaving_ = true;
+  give_back(now);
+}
+
 void Node::meet(const std::string& host) {
   if (host != host_of(self_) && !host.empty()) contacts_.insert(host);
 }
@@ -142,7 +156,7 @@
 
 void Node::tick(Millis now) {
   if (sick_) recover(now);
-  if (!sick_) {
+  if (!sick_ && !leaving_) {
     if (now >= next_beat_) {
       next_beat_ = now + kCoreBeatMs;
       beat(now);
@@ -209,6 +223,7 @@
 void Node::beat(Millis now) {
   Json m{{"t", "b"}, {"v", view_.number}, {"s", synced_}, {"at", now}};
   if (unseated_since_ >= 0) m["u"] = true;
+  if (sick_ || leaving_) m["x"] = true;
   spread(m);
 }
 
@@ -224,6 +239,12 @@
     p.unseated_since = -1;
   else if (p.unseated_since < 0)
     p.unseated_since = now;
+  p.out = field<bool>(m, "x", false);
+  Millis at = field<Millis>(m, "at", -1);
+  if (p.out) {
+    if (at >= p.granted_at) p.granted = -1;  // not a word of a former life that comes late
+    return;
+  }
   if (p.view < view_.number) return out_.send(from, decision());
   if (p.view != view_.number || !view_.has(from) || !may_vote() || now < p.withheld_until) return;
   // Once a next view may be decided that leaves it out, or that others will vote on, no lease of this one
@@ -234,6 +255,7 @@
   // A member without the view's state holds no lease: it can be put out at once and let in anew.
   if (p.synced != view_.number) return;
   p.granted = now;
+  p.granted_at = at;
   out_.send(from, {{"t", "a"}, {"v", view_.number}, {"at", m.value("at", Json())}});
 }
 
@@ -274,7 +296,7 @@
       if (r.number > ledger_.stored() || joining) b.rows.push_back(r);
     for (auto& r : b.rows) ledger_.put(r);
     ledger_.set_stored(k);
-    if (!save(b)) return;
+    if (!save(now, b)) return;
   }
   if (m.contains("o"))
     for (auto& o : m["o"]) {
@@ -337,7 +359,7 @@
     b.rows.push_back(r);
   }
   origins_.push_back({base + 1, origin, id, 200, {}});
-  if (!save(b)) return;
+  if (!save(now, b)) return;
   if (tail()) return commit_up_to(now, ledger_.stored());
   pass_on(now, base);
 }
@@ -395,7 +417,7 @@
     if (number(m, "v") == view_.number) {
       Millis at = field<Millis>(m, "at", -1);
       auto& p = peers_[from];
-      if (at >= 0 && at <= now) p.leased_from = std::max(p.leased_from, at);
+      if (at > stepped_out_at_ && at <= now) p.leased_from = std::max(p.leased_from, at);
     }
     return;
   }
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -49,7 +49,9 @@
   void read(Millis now, const std::string& key,
             std::function<void(std::optional<std::string>, bool ok)> done);
   void meet(const std::string& host);  // another core, by whatever way it became known
-  void linked() { next_beat_ = 0; }    // a link to another core has come up: it hears of this one at once
+  // Takes no further part: the process is about to end. The others need not wait for its leases.
+  void step_out(Millis now);
+  void linked() { next_beat_ = 0; }  // a link to another core has come up: it hears of this one at once
 
   const View& view() const { return view_; }
   const Ledger& ledger() const { return ledger_; }
@@ -57,7 +59,9 @@
   bool settled() const { return in_step() && committed_ == ledger_.stored(); }
   bool seated(Millis now, Millis guard = 0) const;  // holds its place by a majority's lease
   bool leads(Millis now) const;                     // holds the duty of the head, and may act on it
-  bool in_step() const { return !sick_ && view_.number > 0 && synced_ == view_.number && view_.has(self_); }
+  bool in_step() const {
+    return !sick_ && !leaving_ && view_.number > 0 && synced_ == view_.number && view_.has(self_);
+  }
   bool in_step(const CoreName& peer) const;
   bool tail() const { return view_.tail() == self_; }
   bool sick() const { return sick_; }  // the disk refuses writes
@@ -90,8 +94,8 @@
     std::uint64_t instance = 0, ballot = 0;
   };
 
-  bool may_vote() const { return !sick_ && view_.votes(self_); }
-  bool save(Batch b);
+  bool may_vote() const { return !sick_ && !leaving_ && view_.votes(self_); }
+  bool save(Millis now, Batch b = {});
   void load();
   void recover(Millis now);
 
@@ -111,6 +115,7 @@
 
   // chain
   void beat(Millis now);
+  void give_back(Millis now);
   void on_beat(Millis now, const CoreName& from, const Json& m);
   void head_takes(Millis now, const CoreName& origin, std::uint64_t id, const Json& update);
   void pass_on(Millis now, std::uint64_t base);
@@ -140,15 +145,18 @@
   Ledger ledger_;
 
   // of this life only
-  bool sick_ = false;
+  bool sick_ = false, leaving_ = false;
+  Millis stepped_out_at_ = -1;  // leases asked for before this are given back
   Millis try_disk_at_ = 0;
   std::uint64_t committed_ = 0;
   Millis voters_changed_at_, put_out_at_;
   struct Peer {
     Millis heard = -1, since = -1;  // last heard; heard without a gap since
     std::uint64_t synced = 0, view = 0;
+    bool out = false;  // it has said that it takes no part
     Millis unseated_since = -1, out_of_step_since = -1;
-    Millis granted = -1, withheld_until = -1, leased_from = -1;
+    Millis granted = -1, granted_at = -1;  // here, and by the clock of the one who asked
+    Millis withheld_until = -1, leased_from = -1;
   };
   std::map<CoreName, Peer> peers_;
   std::map<std::string, CoreName> present_;  // by host: the identity heard last
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -124,11 +124,12 @@
 void Failover::tick(Millis now) {
   now_ = now;
   chart();
-  if (!out_.holds()) {
+  if (std::uint64_t token = out_.token(); token != token_) {  // the duty has been another's meanwhile
+    token_ = token;
     jobs_.clear();
     releases_.clear();
-    return;
   }
+  if (!out_.holds()) return;  // with a change of view it comes back in a moment
   std::vector<std::string> services;
   for (auto& [service, l] : chart().leads()) services.push_back(service);
   for (auto& s : services) {
@@ -192,7 +193,8 @@
       return;
     case Step::kHolding: {
       if (now < job.retry_at) return;
-      bool expired = now >= job.held_since + kNodeLeaseMs + kViewLeaseMs + 2 * kDriftMarginMs;
+      // Whoever gives leases had stored the suspension when it was committed: older leases have ended by now.
+      bool expired = now >= job.held_since + kNodeLeaseMs + 2 * kDriftMarginMs;
       if (!expired && !out_.all_acknowledged(job.held_number)) return;
       return survey(now, service, job);
     }
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -20,7 +20,8 @@
 class Failover {
  public:
   struct Out {
-    std::function<bool()> holds;  // the duty lease, read right before each step that needs it
+    std::function<bool()> holds;           // the duty lease, read right before each step that needs it
+    std::function<std::uint64_t()> token;  // rises whenever the duty goes to another; 0: not this core's
     std::function<void(const Instance&, const std::string& statement, std::function<void(DbReply)>)> ask;
     std::function<void(const std::string& service, const InstanceId&, std::function<void(int status)>)>
         promote;
@@ -111,7 +112,7 @@
   };
   std::map<std::string, Millis> handed_over_;  // by service: when its lead last moved for slowness
   std::map<std::string, Release> releases_;
-  std::uint64_t last_release_ = 0;
+  std::uint64_t last_release_ = 0, token_ = 0;
 };
 
 }  // namespace pebblespindle::duty
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -29,6 +29,10 @@
   node_ = std::make_unique<chain::Node>(std::move(start), *disk_, *this, loop_.now());
   duty::Failover::Out out;
   out.holds = [this] { return node_->leads(loop_.now()); };
+  out.token = [this] {
+    auto& v = node_->view();
+    return v.head() == node_->self() ? v.headed : 0;
+  };
   out.ask = [this](const Instance& i, const std::string& s, std::function<void(duty::DbReply)> done) {
     db_.ask(i, s, std::move(done));
   };
@@ -77,7 +81,9 @@
   control_ = std::move(*http.value);
   loop_.on_signal(SIGTERM, [this] {
     log_.say("Asked to end.");
-    loop_.stop();
+    node_->step_out(loop_.now());
+    loop_.timers().at(loop_.now() + kReconnectMs / 2, [this] { loop_.stop(); });
+    loop_.rearm();
   });
   loop_.on_signal(SIGHUP, [this] {
     auto s = load_settings(settings_path());
--- a/src/ledger/sqlite_disk.cc
+++ b/src/ledger/sqlite_disk.cc
@@ -74,7 +74,8 @@
 }
 
 bool SqliteDisk::reopen() {
-  return connect() == SQLITE_OK;
+  // A write that changes a whole page shows that the disk takes writes again.
+  return connect() == SQLITE_OK && run("INSERT OR REPLACE INTO meta VALUES('trial',hex(randomblob(2000)))");
 }
 
 Outcome<std::unique_ptr<SqliteDisk>> open_ledger(const std::string& directory,
--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -75,7 +75,15 @@
       for (auto& host : hosts) {
         if (!up(host)) continue;
         if (net.now % 20 == 0) at(host).tick(net.now);
-        leaders += at(host).leads(net.now);
+        if (at(host).leads(net.now)) {
+          ++leaders;
+          auto token = at(host).view().headed;
+          if (at(host).self() != holder) {
+            ASSERT_GT(token, top) << "a new holder without a higher token";
+          }
+          holder = at(host).self();
+          top = token;
+        }
         tails += at(host).tail() && at(host).seated(net.now);
       }
       ASSERT_LE(leaders, 1) << "two cores hold the duty";
@@ -112,6 +120,8 @@
   std::vector<std::string> hosts, seeds;
   std::map<std::string, std::unique_ptr<Core>> cores;
   std::map<std::uint64_t, Row> history;
+  std::string holder;  // of the duty
+  std::uint64_t top = 0;
 };
 
 void Core::send(const std::string& to, const Json& m) {
@@ -150,8 +160,12 @@
       case 1:
         if (!down.empty()) heal();
         break;
-      case 2:  // crash, perhaps straight back
+      case 2:  // crash or an end in order, perhaps straight back
         if (!free || !f.up(one)) break;
+        if (f.net.chance(0.3)) {
+          f.at(one).step_out(f.net.now);
+          f.run(f.net.pick(100));
+        }
         f.stop(one);
         down.push_back(one);
         if (f.net.chance(0.5)) {
@@ -330,11 +344,20 @@
   EXPECT_EQ(f.read("core0", "k"), "w") << "a core outside the view passes calls on";
 }
 
+TEST(Chain, ACoreThatEndsInOrderIsNotWaitedFor) {
+  Fleet f(12);
+  f.run(1500);
+  f.at("core0").step_out(f.net.now);
+  f.run(100);
+  EXPECT_FALSE(f.at("core1").view().has("core0"));
+  EXPECT_TRUE(f.at("core1").leads(f.net.now));
+}
+
 TEST(Chain, ACoreWhoseDiskIsFullStepsOutAndComesBack) {
   Fleet f(11);
   f.run(1500);
   f.cores["core2"]->disk.full = true;
-  f.submit("core0", "k", "", "v");
+  EXPECT_EQ(f.submit("core0", "k", "", "v"), 200) << "the others go on at once";
   f.run(3000);
   EXPECT_TRUE(f.at("core2").sick());
   EXPECT_FALSE(f.at("core0").view().has("core2"));
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -63,6 +63,7 @@
     int g = generation;
     Failover::Out out;
     out.holds = [this, g] { return g == generation && holds; };
+    out.token = [g] { return std::uint64_t(g); };
     out.ask = [this, g](const Instance& i, const std::string& s, std::function<void(DbReply)> done) {
       std::string name = i.id.value;
       Db& d = dbs[name];
--- a/tests/sim_net.h
+++ b/tests/sim_net.h
@@ -58,7 +58,7 @@
   std::map<std::string, Row> stored_rows;
   std::map<std::string, std::string> stored_meta;
   bool full = false;  // refuses writes
-  bool reopen() override { return true; }
+  bool reopen() override { return !full; }
   bool commit(const Batch& b) override {
     if (full) return false;
     if (b.clear_rows) stored_rows.clear();
