See what nodes meet: databases and routes by zone, and recent events, in status

Cause: a database may answer its health check and fail its callers, and nothing showed it. Change: each berth counts what it met per database and route and tells the core, each 2 s, only what is out of the ordinary (failing, slow against its peers, closed off); the lookout puts it together by zone, drops figures that cannot be, and logs once when two nodes of a zone agree. status asks every core and shows trouble and events. Reads avoid a database that fails more than a third of the last dozen, with longer pauses as it comes and goes; a read that failed runs once elsewhere. The last usable database is never left out. Ruled out: health checks as a judge; sums pushed between cores (dear between zones: the reader asks each core).

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -56,6 +56,11 @@
       touch();
       engine_.shed_idle();
     });
+    loop_.every(kSightMs, [this] {
+      touch();
+      Json sights = engine_.take_sights();
+      if (feed_ && !sights.is_null()) feed_->send(sights.dump() + "\n");
+    });
     connect_feed();
     loop_.run();
     return 0;
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -242,6 +242,7 @@
     if (!s.route) return fail(s, "NODATABASE", s.host);
     s.tx_touched = s.tx_wrote = false;
   }
+  ++routes_seen_[s.route->name].asked;
   w.active = true;
   w.id = std::string(id);
   w.text = std::string(text);
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -54,6 +54,8 @@
 
   // Closes pooled connections that have been idle for too long, and without a lease the sessions that rest.
   void shed_idle();
+  // What was out of the ordinary since the last call, for the core to see; null when nothing was.
+  Json take_sights();
   // Closes the windows in which the pace of the primaries is taken.
   void take_pace();
 
@@ -145,6 +147,12 @@
     };
     std::map<std::string, Latency> latency;  // by route
     Pace pace;                               // of statements on primary routes
+    struct {
+      int asked = 0, bad = 0;
+      Millis ms = 0;
+    } seen;              // in this window
+    double trouble = 0;  // share of what was asked of late that failed
+    Millis avoid_until = 0, avoid_pause = 0;
     int silent = 0;
     bool suspected = false;
   };
@@ -207,6 +215,7 @@
   void setup_failed(Server& c, char state);
   void statement_done(Server& c, const wire::Idle& idle);
   void work_lost(Session& s, bool sent);
+  void met(const InstanceId& id, bool good, Millis took);
   void on_patience(SessionId id);
   void on_deadline(SessionId id);
   bool may_retry(const Session& s) const;
@@ -230,7 +239,11 @@
   std::map<std::string, std::deque<SessionId>> held_;  // by service
   std::map<std::string, Millis> suspended_since_;
   std::map<std::string, std::uint64_t> shape_names_;
-  std::vector<SessionId> unfed_;  // wait for the first feed
+  struct RouteSeen {
+    int asked = 0, refused = 0, failed = 0, late = 0;
+  };
+  std::map<std::string, RouteSeen> routes_seen_;  // in this window
+  std::vector<SessionId> unfed_;                  // wait for the first feed
   ConnId last_conn_ = 0;
   std::uint64_t suspended_number_ = 0;
 };
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -223,6 +223,7 @@
     return next_step(c);
   }
   Work& w = s->work;
+  met(c.instance, c.error_code != "EXECFAILED" && c.error_code != "TIMEOUT", now_ - w.sent_at);
   if (s->route->type == RouteType::kPrimary && c.error_code != "THROTTLED") p.pace.answered(now_ - w.sent_at);
   auto& latency = p.latency[s->route->name];
   double took = double(now_ - w.sent_at);
@@ -242,7 +243,8 @@
   std::string code = std::move(c.error_code), text = std::move(c.error_text);
   bool tx = s->state == 'T';
   bool movable = !tx || !s->tx_touched;
-  if (!code.empty() && not_run(code) && movable && may_retry(*s)) {
+  bool again = not_run(code) || (code == "EXECFAILED" && w.read);  // a read that failed may run elsewhere
+  if (!code.empty() && again && movable && may_retry(*s)) {
     if (code == "LAGGING") p.lagging_until = now_ + kLaggingAvoidMs;
     if (code == "NOTFOUND") c.prepared.clear(), c.values_unsure = true;
     if (code != "NOTFOUND") w.tried.push_back(c.instance);
@@ -257,6 +259,11 @@
     return attempt(sid);
   }
   std::string body;
+  auto& seen = routes_seen_[s->route->name];
+  if (!code.empty())
+    ++seen.failed;
+  else if (now_ - w.began > s->route->target_ms)
+    ++seen.late;
   if (code.empty()) {
     body = std::move(w.rows);
     body.append("COMPLETE ").append(c.stamp).append("\r\n");
@@ -311,6 +318,7 @@
   if ((!sent || w.read) && movable && may_retry(s)) return attempt(s.id);
   SessionId id = s.id;
   Verb verb = w.verb;
+  if (s.route) ++routes_seen_[s.route->name].failed;
   bool unsure = sent && (verb == Verb::kCommit ? s.tx_wrote : !tx && !w.read);
   end_work(s);
   if (unsure) {
@@ -366,6 +374,7 @@
   }
   if (!elsewhere) return;
   // A read may run twice: try it elsewhere, or there again on another connection.
+  met(instance, false, now_ - w.sent_at);
   ConnId conn = s->conn;
   s->conn = 0;
   c->session = 0;
@@ -383,6 +392,7 @@
   ConnId conn = s->conn;
   s->conn = 0;
   if (Server* c = server(conn)) {
+    if (sent) met(c->instance, false, now_ - s->work.sent_at);
     if (Pool& p = pools_[c->instance]; p.last_answer < s->work.sent_at) {
       p.suspected = true;
       port_.suspect(c->instance, false);
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -193,6 +193,7 @@
     long cost = (i.zone == zone_ ? 0 : 20) + (leads ? 5 : 0) + (i.draining ? 40 : 0) + (behind ? 60 : 0) +
                 long(std::min<std::size_t>(pool.waiting.size(), 20)) * 4;
     double ms = latency(id, route.name);
+    if (now_ < pool.avoid_until) cost += 50;  // it fails more than it may: the last one is used all the same
     if (ms > quickest * kLatencyAvoidFactor && ms > quickest + kLatencyAvoidMs) cost += 30;
     if (behind && primary.kind == Choice::Kind::kGo && !leads) continue;
     if (!best || cost < best_cost) best = &i, best_cost = cost;
@@ -255,6 +256,7 @@
 void Engine::refuse(Session& s, const std::string& code, const std::string& why) {
   end_work(s);
   SessionId id = s.id;
+  if (s.route) ++routes_seen_[s.route->name].refused;
   bool astray = s.route && cut_off(s.route->service);
   fail(s, code, "retry-after-ms=" + std::to_string(s.route ? s.route->target_ms : 100) + " " + why);
   Session* x = find(id);
@@ -447,6 +449,7 @@
   Session* s = find(c->session);
   bool in_flight = s && s->busy && s->conn == id && c->stage != Server::Stage::kIdle;
   bool sent = in_flight && s->work.sent;
+  if (sent) met(instance, false, now_ - s->work.sent_at);
   if (!greeted) {
     p.suspected = true;
     port_.suspect(instance, refused && !silent);
--- /dev/null
+++ b/src/berth/engine_sight.cc
@@ -0,0 +1,53 @@
+// What this node meets at each database, judged by the results of real requests: reads avoid a database that
+// fails more than its peers, and the core is told what is out of the ordinary.
+#include <algorithm>
+
+#include "berth/engine.h"
+
+namespace pebblespindle::berth {
+using namespace constants;
+
+void Engine::met(const InstanceId& id, bool good, Millis took) {
+  Pool& p = pools_[id];
+  ++p.seen.asked;
+  p.seen.ms += took;
+  p.trouble += ((good ? 0.0 : 1.0) - p.trouble) * kTroubleLearn;
+  if (good) return;
+  ++p.seen.bad;
+  if (p.trouble < kTroubleMost || now_ < p.avoid_until) return;
+  // Each time it fails again soon after its trial, it is left alone for longer.
+  bool again = now_ < p.avoid_until + kAvoidMostMs;
+  p.avoid_pause = again && p.avoid_pause > 0 ? std::min(2 * p.avoid_pause, kAvoidMostMs) : kAvoidFirstMs;
+  p.avoid_until = now_ + p.avoid_pause;
+  p.trouble = kTroubleMost / 2;  // one more failure on trial is enough
+}
+
+Json Engine::take_sights() {
+  Json databases = Json::array(), routes = Json::array();
+  auto mean = [this](const InstanceId& id) {
+    auto p = pools_.find(id);
+    return p == pools_.end() || p->second.seen.asked < kSightLeast ? Millis(-1)
+                                                                   : p->second.seen.ms / p->second.seen.asked;
+  };
+  for (auto& [id, p] : pools_) {
+    const Instance* i = chart_.instance(id);
+    if (!i) continue;
+    Millis best = -1, mine = mean(id);
+    for (auto* peer : chart_.of(i->service))
+      if (Millis m = mean(peer->id); m >= 0 && (best < 0 || m < best)) best = m;
+    bool slow = mine >= 0 && double(mine) > double(best) * kLatencyAvoidFactor + kLatencyAvoidMs;
+    bool failing = p.seen.bad >= 2 && p.seen.bad * 20 >= p.seen.asked;
+    if (p.closed_off || slow || failing)
+      databases.push_back(Json::array({id.value, p.seen.asked, p.seen.bad,
+                                       p.seen.asked > 0 ? p.seen.ms / p.seen.asked : 0, int(p.closed_off)}));
+  }
+  for (auto& [id, p] : pools_) p.seen = {};
+  for (auto& [name, r] : routes_seen_)
+    if (r.asked >= kSightLeast && (r.refused + r.failed + r.late) * 10 >= r.asked)
+      routes.push_back(Json::array({name, r.asked, r.refused, r.failed, r.late}));
+  routes_seen_.clear();
+  if (databases.empty() && routes.empty()) return {};
+  return {{"t", "sight"}, {"d", databases}, {"r", routes}};
+}
+
+}  // namespace pebblespindle::berth
--- a/src/chain/agreement.cc
+++ b/src/chain/agreement.cc
@@ -201,7 +201,8 @@
   if (!put_out.empty()) put_out_at_ = now;
   bool led = view_.head() == self_;
   view_ = v;
-  for (auto& [name, p] : peers_) p.leased_from = p.withheld_until = p.out_of_step_since = p.unseated_since = -1;
+  for (auto& [name, p] : peers_)
+    p.leased_from = p.withheld_until = p.out_of_step_since = p.unseated_since = -1;
   stuck_since_ = -1;
   unseated_since_ = now;
   for (auto& m : v.members) meet(host_of(m.name));
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -54,10 +54,16 @@
   };
   out.all_acknowledged = [this](std::uint64_t n) { return all_acknowledged(n); };
   out.members = [this] { return members(); };
-  out.note = [this](const std::string& s) { log_.say(s); };
+  out.note = [this](const std::string& s) { note(s); };
   failover_ = std::make_unique<duty::Failover>(node_->ledger(), std::move(out));
 }
 
+void Harbourmaster::note(const std::string& sentence) {
+  log_.say(sentence);
+  events_.push_back({loop_.now(), sentence});
+  if (events_.size() > kEventsKept) events_.pop_front();
+}
+
 int Harbourmaster::run() {
   auto inner = Acceptor::listen(loop_.io(), settings_.inner(),
                                 [this](asio::ip::tcp::socket s) { accept_inner(std::move(s)); });
@@ -107,6 +113,7 @@
   node_->tick(now);
   if (may_grant()) seated_at_ = now;
   roster_.expire(now);
+  lookout_.expire(now);
   bool holds = node_->leads(now);
   if (holds != held_duty_) {
     held_duty_ = holds;
@@ -273,6 +280,9 @@
     report["z"] = t->zone;
     report["n"] = t->node;
     on_suspect(report);
+  } else if (kind == "sight") {
+    if (!lookout_.report(now, t->zone, t->node, m))
+      log_.say("A report of " + t->node + " has figures that cannot be; it is dropped.");
   } else if (kind == "bye") {
     roster_.left(t->node);
     tell_peers(false);
@@ -384,7 +394,7 @@
     if (r.method == "DELETE") {
       if (!may_grant()) return answer(plain(503, "out of the view"));
       return node_->submit(loop_.now(), leave_update({id}), [this, id, answer](chain::Answer a) {
-        if (a.status == 200) log_.say("Database " + id + " has left.");
+        if (a.status == 200) note("Database " + id + " has left.");
         answer(a.status == 200 ? HttpReply{} : plain(503, a.reason));
       });
     }
@@ -420,7 +430,7 @@
     news = " is leaving.";
   node_->submit(loop_.now(), instance_update(i), [this, i, done, news](chain::Answer a) {
     if (a.status != 200) return done(plain(a.status == 0 ? 503 : a.status, a.reason));
-    if (!news.empty()) log_.say("Database " + i.id.value + " of " + i.service + news);
+    if (!news.empty()) note("Database " + i.id.value + " of " + i.service + news);
     done({200, beat_answer(i), {}});
     if (i.primary) {
       if (node_->leads(loop_.now()))
@@ -445,7 +455,7 @@
   }
   auto checked = read_configuration(r.body);
   if (!checked) {
-    log_.say("A configuration was refused: " + checked.reason + ".");
+    note("A configuration was refused: " + checked.reason + ".");
     return done(plain(400, checked.reason));
   }
   std::uint64_t revision = checked.value->revision;
@@ -454,10 +464,10 @@
     return done(plain(503, "the core is still growing"));
   node_->submit(loop_.now(), config_update(base, r.body), [this, done, revision](chain::Answer a) {
     if (a.status == 200) {
-      log_.say("Configuration " + std::to_string(revision) + " is acknowledged.");
+      note("Configuration " + std::to_string(revision) + " is acknowledged.");
       return done(plain(200));
     }
-    log_.say("Configuration " + std::to_string(revision) + " is not acknowledged: " + a.reason + ".");
+    note("Configuration " + std::to_string(revision) + " is not acknowledged: " + a.reason + ".");
     done(plain(a.status == 0 ? 503 : a.status, a.reason));
   });
 }
@@ -484,6 +494,8 @@
                          {"primary", i.primary}});
   for (auto& [service, l] : chart.leads())
     leads[service] = {{"primary", l.primary.value}, {"suspended", l.hold}, {"term", l.term}};
+  Json events = Json::array();
+  for (auto& e : events_) events.push_back({{"ago_ms", now - e.at}, {"what", e.sentence}});
   Json revision;
   if (chart.fed()) revision = chart.config().revision;
   return {
@@ -502,6 +514,8 @@
        {{"holder", node_->view().head()}, {"token", node_->view().headed}, {"held_here", node_->leads(now)}}},
       {"nodes", nodes},
       {"services", leads},
+      {"trouble", {{"databases", lookout_.databases(now)}, {"routes", lookout_.routes(now)}}},
+      {"events", events},
       {"databases", databases}};
 }
 
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -1,5 +1,6 @@
 // The core's process: joins chain, registry, roster and duty to sockets and the disk.
 #pragma once
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -11,6 +12,7 @@
 #include "keel/log.h"
 #include "keel/loop.h"
 #include "ledger/sqlite_disk.h"
+#include "lookout/lookout.h"
 #include "roster/roster.h"
 
 namespace pebblespindle {
@@ -26,7 +28,7 @@
     return judge_update(ledger, update);
   }
   void committed(std::uint64_t number) override;
-  void note(const std::string& sentence) override { log_.say(sentence); }
+  void note(const std::string& sentence) override;  // an event: logged, and shown by status
 
  private:
   struct Peer {  // another core: this side's connection to it
@@ -88,7 +90,13 @@
   std::unique_ptr<Acceptor> inner_;
   std::unique_ptr<HttpServer> control_;
   News news_;
-  Chart chart_;  // of what the ledger holds
+  Lookout lookout_{[this](const std::string& s) { note(s); }};
+  struct Event {
+    Millis at = 0;
+    std::string sentence;
+  };
+  std::deque<Event> events_;  // the newest last
+  Chart chart_;               // of what the ledger holds
   std::uint64_t told_acked_ = 0;
   std::size_t told_nodes_ = 0;
   Millis told_at_ = 0, born_ = loop_.now(), seated_at_;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -28,6 +28,7 @@
 constexpr std::int64_t kGrowWaitMs =
     4000;  // ms; the first configuration waits this long for all voters: inside the operator's patience
 constexpr std::uint64_t kBallotStep = 16;    // ballots; more than there are voters, so that no two share one
+constexpr std::size_t kEventsKept = 60;      // sentences a core keeps for status: some minutes of trouble
 constexpr std::int64_t kDiskRetryMs = 300;   // ms; pause between tries of a disk that refused a write
 constexpr std::int64_t kDriftMarginMs = 50;  // ms; clock drift and late timers over the longest lease
 constexpr std::int64_t kProposalRetryMs =
@@ -99,6 +100,17 @@
 constexpr std::size_t kMaxPreparedPerConn = 200;  // prepared shapes on one server connection before RESET
 constexpr int kSilentReports = 2;  // unanswered requests in a row before a database is reported
 
+// --- databases that are hard to read ----------------------------------------
+constexpr std::int64_t kSightMs = 2000;  // ms; a window of what a node met: hundreds of requests, few bytes
+constexpr std::int64_t kSightLastsMs = 5000;  // ms; two windows and the way
+constexpr int kSightLeast = 8;                // requests; fewer say nothing of a window
+constexpr std::int64_t kMostInWindow =
+    10'000'000;                               // requests or ms; more than a window can hold: not a report
+constexpr double kTroubleLearn = 0.15;        // weight of one request; the last dozen count
+constexpr double kTroubleMost = 0.35;         // share failing of late; beyond it reads go to its peers first
+constexpr std::int64_t kAvoidFirstMs = 1000;  // ms; then it is tried again
+constexpr std::int64_t kAvoidMostMs = 8000;   // ms; the longest pause of one that comes and goes
+
 // --- a slow primary ---------------------------------------------------------
 constexpr std::int64_t kPaceWindowMs = 500;   // ms; some ten answers a node at ordinary rates
 constexpr int kPaceLeastAnswers = 5;          // answers; fewer say nothing of a window
--- a/src/shore/commands.cc
+++ b/src/shore/commands.cc
@@ -1,5 +1,7 @@
 // The commands of the shore: check a file, ask for the status, tell the version.
+#include <algorithm>
 #include <iostream>
+#include <set>
 
 #include "keel/constants.h"
 #include "keel/http.h"
@@ -50,19 +52,43 @@
     }
     cores = settings.value->seeds;
   }
-  for (auto& core : cores) {
+  Json first, trouble{{"databases", Json::array()}, {"routes", Json::array()}}, events = Json::array();
+  std::set<std::string> asked;
+  for (std::size_t i = 0; i < cores.size(); ++i) {
+    const Endpoint core = cores[i];
+    if (!asked.insert(core.text()).second) continue;
     asio::io_context io;
     HttpReply reply;
     http_call(io, core, {"GET", "/status", "", {}}, constants::kPlatformTimeoutMs,
               [&reply](HttpReply r) { reply = std::move(r); });
     io.run();
-    if (reply.status == 200) {
-      std::cout << reply.body;
-      return 0;
+    Json one = Json::parse(reply.body, nullptr, false);
+    if (reply.status != 200 || !one.is_object()) {
+      std::cerr << "status: no answer from " << core.text() << "\n";
+      continue;
+    }
+    // Each core knows what the nodes linked to it meet: what they say is put together.
+    const std::string name = one.value("core", core.text());
+    for (const char* kind : {"databases", "routes"})
+      for (auto& row : one["trouble"][kind]) trouble[kind].push_back(row);
+    for (auto& e : one["events"]) {
+      e["core"] = name;
+      events.push_back(e);
+    }
+    if (first.is_null()) first = one;
+    if (!address.empty()) continue;
+    for (auto& member : one["view"]["chain"]) {
+      const std::string text = member.get<std::string>();
+      cores.push_back({text.substr(0, text.find('~')), core.port});
     }
-    std::cerr << "status: no answer from " << core.text() << "\n";
   }
-  return 1;
+  if (first.is_null()) return 1;
+  std::sort(events.begin(), events.end(),
+            [](const Json& x, const Json& y) { return x.value("ago_ms", 0) > y.value("ago_ms", 0); });
+  first["trouble"] = trouble;
+  first["events"] = events;
+  std::cout << first.dump(2) << "\n";
+  return 0;
 }
 
 int run_version(const std::string&) {
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -5,6 +5,7 @@
 #include "berth/lvector.h"
 #include "berth/pace.h"
 #include "ledger/sqlite_disk.h"
+#include "lookout/lookout.h"
 #include "ordinance/ordinance.h"
 #include "power_vfs.h"
 #include "roster/roster.h"
@@ -195,6 +196,33 @@
   EXPECT_LT(old, cut);
 }
 
+TEST(Lookout, TellsOfADatabaseWhenSeveralNodesOfAZoneAgree) {
+  std::vector<std::string> told;
+  Lookout l([&](const std::string& s) { told.push_back(s); });
+  Json report{{"d", Json::array({Json::array({"i-1", 40, 20, 12, 0})})}};
+  EXPECT_TRUE(l.report(1000, "north", "n1", report));
+  EXPECT_TRUE(l.report(1100, "south", "n2", report));
+  EXPECT_TRUE(told.empty()) << "one node of a zone may be at fault itself";
+  EXPECT_TRUE(l.report(1200, "north", "n3", report));
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_NE(told[0].find("i-1 fails 50% of what 2 nodes of north"), std::string::npos) << told[0];
+  auto rows = l.databases(1300);
+  ASSERT_EQ(rows.size(), 2u);
+  EXPECT_EQ(rows[0]["failing_percent"], 50);
+  l.expire(1300 + constants::kSightLastsMs);
+  ASSERT_EQ(told.size(), 2u);
+  EXPECT_TRUE(l.databases(9000).empty());
+}
+
+TEST(Lookout, DropsFiguresThatCannotBe) {
+  Lookout l([](const std::string&) {});
+  for (const char* bad :
+       {R"({"d":[["i",3,9,1,0]]})", R"({"d":[["i",-1,0,1,0]]})", R"({"d":[["i",1,0,1]]})", R"({"d":{}})",
+        R"({"d":[[7,1,0,1,0]]})", R"({"r":[["r",1e99,0,0,0]]})", R"({"r":[["r",99999999999,0,0,0]]})"})
+    EXPECT_FALSE(l.report(1000, "z", "n", Json::parse(bad))) << bad;
+  EXPECT_TRUE(l.databases(1000).empty());
+}
+
 TEST(Roster, CountsLeasesItDoesNotRemember) {
   Roster r(1000);
   EXPECT_EQ(r.acknowledged(1100, 9), 0u) << "leases of a former life may still run";
