The lookout judges on a zone's sums, and tells of few requests only when most fail

Change: nodes tell every failure, the core judges on the sum of a zone; a read tried again elsewhere counts as failed only when nothing else came from the database either.

--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -374,7 +374,7 @@
   }
   if (!elsewhere) return;
   // A read may run twice: try it elsewhere, or there again on another connection.
-  met(instance, false, now_ - w.sent_at);
+  if (p.last_answer < w.sent_at) met(instance, false, now_ - w.sent_at);
   ConnId conn = s->conn;
   s->conn = 0;
   c->session = 0;
--- a/src/berth/engine_sight.cc
+++ b/src/berth/engine_sight.cc
@@ -36,8 +36,8 @@
     for (auto* peer : chart_.of(i->service))
       if (Millis m = mean(peer->id); m >= 0 && (best < 0 || m < best)) best = m;
     bool slow = mine >= 0 && double(mine) > double(best) * kLatencyAvoidFactor + kLatencyAvoidMs;
-    bool failing = p.seen.bad >= 2 && p.seen.bad * 20 >= p.seen.asked;
-    if (p.closed_off || slow || failing)
+    // Where traffic is thin each node meets little: the core puts it together before it judges.
+    if (p.closed_off || slow || p.seen.bad > 0)
       databases.push_back(Json::array({id.value, p.seen.asked, p.seen.bad,
                                        p.seen.asked > 0 ? p.seen.ms / p.seen.asked : 0, int(p.closed_off)}));
   }
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -104,6 +104,8 @@
 constexpr std::int64_t kSightMs = 2000;  // ms; a window of what a node met: hundreds of requests, few bytes
 constexpr std::int64_t kSightLastsMs = 5000;  // ms; two windows and the way
 constexpr int kSightLeast = 8;                // requests; fewer say nothing of a window
+constexpr std::int64_t kSightBad = 6;         // failures of a zone's nodes; fewer are met on any day
+constexpr std::int64_t kSightSure = 40;  // requests of a zone's nodes; enough that a share tells something
 constexpr std::int64_t kMostInWindow =
     10'000'000;                               // requests or ms; more than a window can hold: not a report
 constexpr double kTroubleLearn = 0.15;        // weight of one request; the last dozen count
--- a/src/lookout/lookout.cc
+++ b/src/lookout/lookout.cc
@@ -42,7 +42,7 @@
   };
   for (auto& row : d) {
     auto* s = enter(databases_, row[0], {row[1], row[2], 0, 0, row[3], row[4] != 0, 0});
-    judge(now, {row[0], zone}, *s);
+    judge({row[0], zone}, *s);
   }
   for (auto& row : r) enter(routes_, row[0], {row[1], row[3], row[4], row[2], 0, false, 0});
   return true;
@@ -63,13 +63,23 @@
 }
 
 // One line when several nodes of a zone agree: a single one may be at fault itself.
-void Lookout::judge(Millis, const Key& key, Sight& s) {
-  if (s.told || s.nodes.size() < 2) return;
-  s.told = true;
+void Lookout::judge(const Key& key, Sight& s) {
+  if (s.told) return;
   Seen all = sum(s);
-  note_("Database " + key.first + " fails " + std::to_string(percent(all.bad, all.asked)) + "% of what " +
-        std::to_string(s.nodes.size()) + " nodes of " + key.second + " ask, and takes " +
-        std::to_string(all.ms) + " ms" + (all.closed ? "; some have closed it off." : "."));
+  int slow = 0, closed = 0;
+  for (auto& [node, x] : s.nodes) {
+    closed += x.closed;
+    slow += !x.closed && x.bad == 0;  // told of for its delay alone
+  }
+  // Nodes that met no failure say nothing: of few requests, most must have failed.
+  std::int64_t least = all.asked >= kSightSure ? 25 : 75;
+  bool fails = s.nodes.size() >= 2 && all.bad >= kSightBad && percent(all.bad, all.asked) >= least;
+  if (!fails && slow < 2 && closed < 2) return;
+  s.told = true;
+  note_("Database " + key.first + " fails " + std::to_string(percent(all.bad, all.asked)) + "% of " +
+        std::to_string(all.asked) + " requests of " + std::to_string(s.nodes.size()) + " nodes of " +
+        key.second + " and takes " + std::to_string(all.ms) + " ms" +
+        (closed > 0 ? "; " + std::to_string(closed) + " have closed it off." : "."));
 }
 
 void Lookout::expire(Millis now) {
--- a/src/lookout/lookout.h
+++ b/src/lookout/lookout.h
@@ -33,7 +33,7 @@
   };
   using Key = std::pair<std::string, std::string>;  // database or route, zone of the nodes
   static Seen sum(const Sight& s);
-  void judge(Millis now, const Key& key, Sight& s);
+  void judge(const Key& key, Sight& s);
   std::function<void(const std::string&)> note_;
   std::map<Key, Sight> databases_, routes_;
 };
