--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -385,7 +385,7 @@
   out_.promote(service, job.successor, [this, service, round](int status) {
     auto& j = jobs_[service];
     if (j.round != round) return;
-    if (status == 409) return again(now_, j);
+    if (status == 409 || status < 0) return again(now_, j);  // or not sent: the duty was gone
     if (status == 200 || status == 0) {
       go(j, Step::kAwaiting);
       j.told = false;
--- a/src/harbourmaster/db_caller.cc
+++ b/src/harbourmaster/db_caller.cc
@@ -42,7 +42,9 @@
       });
 }
 
-void DbCaller::send_first(const InstanceId&, const LinePtr& line) {
+void DbCaller::send_first(const InstanceId& id, const LinePtr& line) {
+  if (line->calls.front().statement != "INFO" && may_act && !may_act())
+    return fail(id, line, DbReply::Kind::kSilent);
   line->reply = {};
   line->reply.kind = DbReply::Kind::kError;
   line->conn->send(wire::query("-", line->calls.front().statement));
--- a/src/harbourmaster/db_caller.h
+++ b/src/harbourmaster/db_caller.h
@@ -13,6 +13,9 @@
  public:
   explicit DbCaller(Loop& loop) : loop_(loop) {}
   void ask(const Instance& to, const std::string& statement, std::function<void(duty::DbReply)> done);
+  // Asked right before anything but a question goes out: a process that was frozen while it connected may
+  // have lost the duty since.
+  std::function<bool()> may_act;
   void expire();  // closes connections that have not been used for a while
 
  private:
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -44,10 +44,13 @@
                   {{"Content-Type", "application/json"},
                    {"X-Pebblespindle-Duty-Holder", settings_.node_name},
                    {"X-Pebblespindle-Fence-Token", std::to_string(node_->view().headed)}}};
-    http_call(loop_.io(), *settings_.platform, r, kPlatformTimeoutMs, [this, done](HttpReply reply) {
-      done(reply.status);
-      loop_.rearm();
-    });
+    http_call(
+        loop_.io(), *settings_.platform, r, kPlatformTimeoutMs,
+        [this, done](HttpReply reply) {
+          done(reply.status);
+          loop_.rearm();
+        },
+        [this] { return node_->leads(loop_.now()); });
   };
   out.submit = [this](Json u, std::function<void(chain::Answer)> done) {
     node_->submit(loop_.now(), std::move(u), std::move(done));
@@ -55,6 +58,7 @@
   out.all_acknowledged = [this](std::uint64_t n) { return all_acknowledged(n); };
   out.members = [this] { return members(); };
   out.note = [this](const std::string& s) { note(s); };
+  db_.may_act = [this] { return node_->leads(loop_.now()); };
   failover_ = std::make_unique<duty::Failover>(node_->ledger(), std::move(out));
 }
 
--- a/src/keel/http.cc
+++ b/src/keel/http.cc
@@ -195,7 +195,7 @@
 }
 
 void http_call(asio::io_context& io, const Endpoint& to, const HttpRequest& request, Millis timeout_ms,
-               std::function<void(HttpReply)> done) {
+               std::function<void(HttpReply)> done, std::function<bool()> may) {
   auto call = std::make_shared<ClientCall>(io);
   call->done = std::move(done);
   auto headers = request.headers;
@@ -209,8 +209,9 @@
   });
   asio::error_code ec;
   auto address = asio::ip::make_address(to.host, ec);
-  call->socket.async_connect(tcp::endpoint(address, to.port), [call](const asio::error_code& e) {
+  call->socket.async_connect(tcp::endpoint(address, to.port), [call, may](const asio::error_code& e) {
     if (e) return call->finish({0, "", {}});
+    if (may && !may()) return call->finish({kNotSent, "", {}});
     asio::async_write(call->socket, asio::buffer(call->out), [call](const asio::error_code& e2, std::size_t) {
       if (e2) return call->finish({0, "", {}});
       call->read();
--- a/src/keel/http.h
+++ b/src/keel/http.h
@@ -33,8 +33,10 @@
   std::unique_ptr<Acceptor> acceptor_;
 };
 
-// Calls done once: with the reply, or with status 0 when there was none in time.
+// Calls done once: with the reply, or with status 0 when there was none in time. `may` is asked right before
+// the request is written: if it says no, nothing is sent and the status is kNotSent.
+constexpr int kNotSent = -1;
 void http_call(asio::io_context& io, const Endpoint& to, const HttpRequest& request, Millis timeout_ms,
-               std::function<void(HttpReply)> done);
+               std::function<void(HttpReply)> done, std::function<bool()> may = {});
 
 }  // namespace pebblespindle
