--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -305,7 +305,7 @@
     sea.submit(leave_update({"db2"}));
     sea.dbs["db1"].deaf = true;
     sea.later(ends, [&] { sea.dbs["db2"].up = false; });
-    sea.later(60, [&] { sea.dbs["db1"].deaf = false; });
+    sea.later(400, [&] { sea.dbs["db1"].deaf = false; });
     sea.dbs["db0"].draining = true;
     sea.submit(instance_update(sea.instance("db0")));
     for (int i = 0; i < 5000; ++i) sea.step();  // take_over() checks what is promoted
