Head: what is offered while a batch is on its way shares the next sync and message

Cause: each of 360 registrations was synced by five cores, one after the other, and fed to 295 nodes by itself. One batch is on its way at a time. Ruled out: a timer to collect updates (it delays a lone one).

--- a/src/chain/node.cc
+++ b/src/chain/node.cc
@@ -325,6 +325,7 @@
   if (!before.empty()) out_.send(before, {{"t", "com"}, {"n", view_.number}, {"k", committed_}});
   answer_origins(now);
   if (rose) out_.committed(committed_);
+  take_waiting(now);
 }
 
 // Updates are answered from the tail; what changed nothing, or was refused, from the head.
@@ -346,19 +347,36 @@
   if (view_.head() != self_ || !seated(now)) return;
   for (auto& o : origins_)
     if (o.core == origin && o.id == id) return;  // offered again while under way
-  Verdict v = out_.judge(ledger_, update);
-  if (v.status != 200 || v.rows.empty()) {
-    origins_.push_back({ledger_.stored(), origin, id, v.status, v.status == 200 ? "same" : v.reason});
-    return answer_origins(now);
-  }
+  for (auto& o : waiting_)
+    if (o.core == origin && o.id == id) return;
+  waiting_.push_back({origin, id, update, now});
+  take_waiting(now);
+}
+
+// One batch is on its way at a time: what is offered meanwhile shares the next sync and the next message.
+void Node::take_waiting(Millis now) {
+  if (waiting_.empty() || committed_ < ledger_.stored()) return;
+  auto offers = std::move(waiting_);
+  waiting_.clear();
+  if (view_.head() != self_ || !seated(now)) return;  // they are offered again, here or elsewhere
   std::uint64_t base = ledger_.stored();
   Batch b;
-  for (auto& r : v.rows) {
-    r.number = base + 1;
-    ledger_.put(r);
-    b.rows.push_back(r);
+  for (auto& o : offers) {
+    if (now >= o.at + kSubmitGiveUpMs) continue;  // nobody waits for it any more
+    Verdict v = out_.judge(ledger_, o.update);
+    if (v.status != 200 || v.rows.empty()) {
+      origins_.push_back({ledger_.stored(), o.core, o.id, v.status, v.status == 200 ? "same" : v.reason});
+      continue;
+    }
+    std::uint64_t next = ledger_.stored() + 1;
+    for (auto& r : v.rows) {
+      r.number = next;
+      ledger_.put(r);
+      b.rows.push_back(r);
+    }
+    origins_.push_back({next, o.core, o.id, 200, {}});
   }
-  origins_.push_back({base + 1, origin, id, 200, {}});
+  if (b.rows.empty()) return answer_origins(now);
   if (!save(now, b)) return;
   if (tail()) return commit_up_to(now, ledger_.stored());
   pass_on(now, base);
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -117,6 +117,7 @@
   void beat(Millis now);
   void give_back(Millis now);
   void on_beat(Millis now, const CoreName& from, const Json& m);
+  void take_waiting(Millis now);
   void head_takes(Millis now, const CoreName& origin, std::uint64_t id, const Json& update);
   void pass_on(Millis now, std::uint64_t base);
   void on_update(Millis now, const CoreName& from, const Json& m);
@@ -167,6 +168,13 @@
   std::set<CoreName> accepts_;
   bool accepting_ = false;
   std::vector<Origin> origins_;
+  struct Offer {
+    CoreName core;
+    std::uint64_t id = 0;
+    Json update;
+    Millis at = 0;
+  };
+  std::vector<Offer> waiting_;  // at the head, until what is on its way has been committed
   std::map<std::uint64_t, Pending> pending_;
   std::map<std::uint64_t, PendingRead> reads_;
   std::uint64_t last_id_ = 0;
