--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -58,6 +58,7 @@
   Session* s = find(id);
   if (!s) return;
   timers_.cancel(s->rest);
+  std::erase(unfed_, id);  // once: a second greeting would be an answer to nothing
   if (!chart_.route(s->host)) {
     port_.to_client(id, wire::error("NODATABASE", s->host));
     return drop(id);
