Configurations in parts, fed in pieces; connections kept where few nodes ask

The ledger keeps the body for the cores and a row a route and service for the nodes; bulk goes in pieces of 12 kB, two ahead. Now each node keeps its own; a database that turns one away is told of by the core, and then as many keep theirs as fit. Ruled out: lasting subsets for all (most databases are asked by fewer nodes than fit).

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -1,5 +1,6 @@
 // The proxy's process: joins the engine to sockets, to the tender's feed, and to the ready probe.
 #include <csignal>
+#include <random>
 #include <set>
 
 #include "berth/engine.h"
@@ -21,7 +22,7 @@
 class Berth : public berth::Port {
  public:
   explicit Berth(Settings s)
-      : settings_(std::move(s)), engine_(*this, loop_.timers(), settings_.zone, settings_.drain_ms) {}
+      : settings_(std::move(s)), engine_(*this, loop_.timers(), settings_.zone, settings_.drain_ms, std::random_device{}()) {}
 
   int run() {
     auto front = settings_.listeners.find("Frontend");
@@ -119,6 +120,9 @@
     log_.say("Database " + id.value + " answers again.");
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}}.dump() + "\n");
   }
+  void full(const InstanceId& id) override {
+    if (feed_) feed_->send(Json{{"t", "full"}, {"id", id.value}}.dump() + "\n");
+  }
   void slow(const InstanceId& id) override {
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"slow", true}}.dump() + "\n");
   }
@@ -252,6 +256,8 @@
       if (!was && engine_.ready())
         log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
       renew();
+    } else if (t == "tight") {
+      engine_.tight({m.value("id", "")});
     } else if (t == "grant") {
       engine_.lease(m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs,
                     m.value("k", std::uint64_t(0)), m.value("n", std::size_t(1)));
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -26,14 +26,16 @@
   virtual void to_server(ConnId, std::string bytes) = 0;
   virtual void close_server(ConnId, bool orderly) = 0;
   virtual void suspect(const InstanceId&, bool refused) = 0;  // refused, or silent
+  virtual void full(const InstanceId&) = 0;                   // it takes no more connections
   virtual void slow(const InstanceId&) = 0;                   // a primary answers, but far too slowly
   virtual void cleared(const InstanceId&) = 0;                // it answers after all
 };
 
 class Engine {
  public:
-  Engine(Port& port, Timers& timers, std::string zone, Millis drain_ms)
-      : port_(port), timers_(timers), zone_(std::move(zone)), drain_ms_(drain_ms) {}
+  // lot: drawn at random; nodes of different lots keep connections to different databases where they are few.
+  Engine(Port& port, Timers& timers, std::string zone, Millis drain_ms, std::uint64_t lot)
+      : port_(port), timers_(timers), zone_(std::move(zone)), drain_ms_(drain_ms), lot_(lot) {}
 
   // Each call carries the time; timers call back with the time they were set for or later.
   void set_time(Millis now) { now_ = now; }
@@ -52,6 +54,8 @@
   // The lease runs until `until` and holds only for a chart at least at `number`.
   void lease(Millis until, std::uint64_t number, std::size_t members);
 
+  // A database has turned connections away somewhere: fewer are kept to it for a while.
+  void tight(const InstanceId& id) { pools_[id].tight_until = now_ + constants::kTightMs; }
   // Closes pooled connections that have been idle for too long, and without a lease the sessions that rest.
   void shed_idle();
   // What was out of the ordinary since the last call, for the core to see; null when nothing was.
@@ -134,7 +138,7 @@
     std::vector<ConnId> idle;
     std::size_t total = 0, opening = 0;
     std::deque<SessionId> waiting;
-    Millis lagging_until = 0, limit_until = 0;
+    Millis lagging_until = 0, limit_until = 0, tight_until = 0;
     // Closed off: a trial connection must come up before sessions are sent there again.
     bool closed_off = false;
     Millis trial_pause = 0, closed_since = 0;
@@ -198,6 +202,7 @@
   void open(const InstanceId& id);
   double fair_share(const InstanceId& id) const;
   std::size_t share(const InstanceId& id) const;
+  Millis keep(const InstanceId& id, const Pool& p) const;
   void limit(const InstanceId& id);
   void hand_out(const InstanceId& id);
   void give_back(Server& c);
@@ -226,6 +231,7 @@
   Timers& timers_;
   std::string zone_;
   Millis drain_ms_;
+  std::uint64_t lot_;
   Millis now_ = 0;
   Chart chart_;
   Millis lease_until_ = 0;
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -289,14 +289,26 @@
   return double(std::max(1, cap - kConnReservePerDatabase)) / double(members_);
 }
 
-// Where connections are scarce a node may open a few, but keeps at most one, and that not for long: what
-// all nodes use at one moment is far below the cap, what all nodes would keep is not.
+// Where connections are scarce a node may open a few, but keeps at most one: what all nodes use at one moment
+// is far below the cap.
 std::size_t Engine::share(const InstanceId& id) const {
   double fair = fair_share(id);
   if (fair == 0) return 0;
   return fair < kScarceShare ? kScarceMost : std::size_t(fair);
 }
 
+// How long an unused connection is kept. Most databases are asked by few of the nodes, so that all may keep
+// theirs. One that has turned a connection away is asked by more than it has room for: then as many nodes as
+// fit, by lot, keep theirs, and the others let go at once.
+Millis Engine::keep(const InstanceId& id, const Pool& p) const {
+  double fair = fair_share(id);
+  if (fair >= kScarceShare || now_ >= p.tight_until) return kIdleShedMs;
+  std::uint64_t x = std::hash<std::string>()(id.value) ^ (lot_ * 0x9e3779b97f4a7c15ull);
+  x = (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ull;
+  double drawn = double((x ^ (x >> 32)) >> 11) / double(1ull << 53);
+  return drawn < kKeptShare * fair ? kIdleShedMs : kScarceIdleMs;
+}
+
 void Engine::shed_idle() {
   if (!sent_away_ && chart_.fed() && !leaving_ && !ready()) {
     sent_away_ = true;  // once in each time without a lease
@@ -304,10 +316,10 @@
   }
   for (auto& [id, p] : pools_) {
     if (p.idle.empty()) continue;
-    Millis keep = fair_share(id) < kScarceShare ? kScarceIdleMs : kIdleShedMs;
+    Millis kept = keep(id, p);
     std::vector<ConnId> old;
     for (auto c : p.idle)
-      if (Server* x = server(c); x && now_ - x->idle_since >= keep) old.push_back(c);
+      if (Server* x = server(c); x && now_ - x->idle_since >= kept) old.push_back(c);
     for (auto c : old) drop_server(c, true);
   }
 }
@@ -421,6 +433,10 @@
   Pool& p = pools_[id];
   if (now_ < p.limit_until) return;
   p.limit_until = now_ + kLimitPauseMs;
+  if (now_ >= p.tight_until) {
+    tight(id);
+    port_.full(id);
+  }
   timers_.at(p.limit_until, [this, id] {
     Pool& x = pools_[id];
     if (x.opening < x.waiting.size() && x.total < share(id) && !x.closed_off) open(id);
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -34,7 +34,10 @@
     return v.head() == node_->self() ? v.headed : 0;
   };
   out.ask = [this](const Instance& i, const std::string& s, std::function<void(duty::DbReply)> done) {
-    db_.ask(i, s, std::move(done));
+    db_.ask(i, s, [this, id = i.id, done = std::move(done)](duty::DbReply r) {
+      if (r.error.starts_with("CONNLIMIT")) tighten(id, nullptr);
+      done(std::move(r));
+    });
   };
   out.promote = [this](const std::string& service, const InstanceId& id, std::function<void(int)> done) {
     if (!settings_.platform) return done(503);
@@ -117,6 +120,7 @@
   node_->tick(now);
   if (may_grant()) seated_at_ = now;
   roster_.expire(now);
+  std::erase_if(tight_, [now](auto& t) { return now >= t.second + kTightMs; });
   lookout_.expire(now);
   bool holds = node_->leads(now);
   if (holds != held_duty_) {
@@ -214,6 +218,10 @@
     failover_->tick(now);
   } else if (t == "sus") {
     on_suspect(m);
+  } else if (t == "tight") {
+    InstanceId id{m.value("id", "")};
+    tight_[id] = now;
+    pass_tight(id);
   } else if (t == "told") {
     if (auto i = Instance::from({m.value("id", "")}, m.value("v", ""))) failover_->told(now, *i);
   } else {
@@ -258,7 +266,13 @@
     t->zone = m.value("zone", "");
     t->sent = m.value("have", std::uint64_t(0));
     t->greeted = true;
+    t->feeding = nullptr;
     feed(*t);
+  } else if (kind == "got") {
+    ++t->taken;
+    feed_on(*t);
+  } else if (kind == "full") {
+    tighten({m.value("id", "")}, t.get());
   } else if (kind == "renew") {
     bool grant = may_grant();
     roster_.renew(now, t->node, t->zone, m.value("ack", std::uint64_t(0)), grant);
@@ -316,15 +330,46 @@
 
 void Harbourmaster::feed(Tender& t) {
   // Only whole, committed states go out: between two changes of a row there is nothing to send.
-  if (!t.greeted || !node_->settled() || t.sent >= node_->committed()) return;
+  if (!t.greeted || t.feeding || !node_->settled() || t.sent >= node_->committed()) return;
   // Most nodes stand at the same number: what one is told, the next is told as well.
   if (news_.from != t.sent || news_.to != node_->committed() || news_.life != node_->ledger().lives())
     news_ = {t.sent, node_->committed(), node_->ledger().lives(),
-             Json{{"t", "up"}, {"k", node_->committed()}, {"r", rows_to_json(node_->ledger().since(t.sent))}}
-                     .dump() +
-                 "\n"};
-  t.conn->send(news_.line);
+             std::make_shared<const std::vector<std::string>>(
+                 feed_lines(t.sent, node_->committed(), node_->ledger().since(t.sent)))};
   t.sent = node_->committed();
+  t.feeding = news_.lines;
+  t.next_piece = t.taken = 0;
+  feed_on(t);
+}
+
+// Bulk goes in pieces, and the next one only as a node takes them: leases are not held up behind it.
+void Harbourmaster::feed_on(Tender& t) {
+  while (t.feeding && t.next_piece < t.feeding->size() && t.next_piece < t.taken + kPiecesAhead)
+    t.conn->send((*t.feeding)[t.next_piece++]);
+  if (!t.feeding || (t.feeding->size() > 1 && t.taken < t.feeding->size())) return;
+  t.feeding = nullptr;
+  feed(t);  // what has changed meanwhile
+}
+
+// A database has no more connections to give: nodes everywhere keep fewer to it for a while. Told once in
+// half of that while, whoever says so how often; one that has not heard is told alone.
+void Harbourmaster::tighten(const InstanceId& id, Tender* teller) {
+  Millis now = loop_.now();
+  if (!chart_.instance(id)) return;
+  auto [it, fresh] = tight_.emplace(id, now);
+  if (!fresh && now < it->second + kTightMs / 2) {
+    if (teller) teller->conn->send(Json{{"t", "tight"}, {"id", id.value}}.dump() + "\n");
+    return;
+  }
+  it->second = now;
+  pass_tight(id);
+  for (auto& [host, p] : peers_) send(host, {{"t", "tight"}, {"id", id.value}});
+}
+
+void Harbourmaster::pass_tight(const InstanceId& id) {
+  const std::string line = Json{{"t", "tight"}, {"id", id.value}}.dump() + "\n";
+  for (auto& [t, core] : tenders_)
+    if (!core && t->greeted) t->conn->send(line);
 }
 
 void Harbourmaster::feed_all() {
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -40,15 +40,18 @@
     std::size_t nodes = 0;
     Millis told = -100000;
   };
+  using Pieces = std::shared_ptr<const std::vector<std::string>>;
   struct News {  // what the last node was fed
     std::uint64_t from = 0, to = 0, life = 0;
-    std::string line;
+    Pieces lines;
   };
   struct Tender {
     LineConn::Ptr conn;
     std::string node, zone;
     std::uint64_t sent = 0;
     bool greeted = false;
+    Pieces feeding;  // what it is being fed, a few pieces ahead of what it has taken
+    std::size_t next_piece = 0, taken = 0;
   };
   static chain::Verdict judge_update(const Ledger& ledger, const Json& update);
 
@@ -59,7 +62,10 @@
   void on_tender(const std::shared_ptr<Tender>& t, const Json& m);
   void dial(const std::string& host);
   void feed(Tender& t);
+  void feed_on(Tender& t);
   void feed_all();
+  void tighten(const InstanceId& id, Tender* teller);
+  void pass_tight(const InstanceId& id);
   void tell_peers(bool always);
   Json core_list() const;
   bool in_view(const std::string& host) const;
@@ -90,6 +96,7 @@
   std::unique_ptr<Acceptor> inner_;
   std::unique_ptr<HttpServer> control_;
   News news_;
+  std::map<InstanceId, Millis> tight_;  // databases that turned connections away, and since when
   Lookout lookout_{[this](const std::string& s) { note(s); }};
   struct Event {
     Millis at = 0;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -11,7 +11,9 @@
     8 << 20;  // bytes; a snapshot on an inner link: several full configurations
 constexpr std::size_t kMaxPeerQueueBytes =
     4 << 20;  // bytes; several whole states wait for a core that reads nothing; then the link starts anew
-constexpr std::size_t kMaxHttpBodyBytes = 1 << 20;  // bytes; four times the largest configuration body seen
+constexpr std::size_t kMaxHttpBodyBytes = 2 << 20;  // bytes; four times the largest configuration seen
+constexpr std::size_t kPieceBytes = 12288;  // bytes; 50 ms of a link of 2 Mbit/s: leases pass in between
+constexpr std::size_t kPiecesAhead = 2;     // pieces on their way to a node; the link does not idle between two
 constexpr std::size_t kMaxHttpHeaderBytes = 16384;  // bytes; ordinary header bound for control calls
 constexpr std::size_t kReadChunkBytes = 16384;  // bytes; one shared read buffer per process, not per socket
 constexpr std::size_t kBackpressureBytes =
@@ -83,6 +85,9 @@
 constexpr double kScarceShare = 2.0;         // connections a node; below this not every node can keep its own
 constexpr std::size_t kScarceMost = 3;       // connections a node opens to one database where they are scarce
 constexpr std::int64_t kScarceIdleMs = 500;  // ms; a busy database is asked again sooner; others let go
+constexpr std::int64_t kTightMs =
+    60000;  // ms; a database that turned a connection away is spared this long: one refusal a minute tells
+constexpr double kKeptShare = 0.75;  // of the connections there are: what nodes keep to a database that is tight
 constexpr std::int64_t kTrialFirstMs = 50;   // ms; a closed-off database is first tried again after this
 constexpr std::int64_t kTrialMostMs = 1600;  // ms; trials are spaced at most this far: one connection each
 constexpr std::int64_t kLaggingAvoidMs = 60;   // ms; a replica that answered LAGGING gets time to apply
--- a/src/ordinance/chart.cc
+++ b/src/ordinance/chart.cc
@@ -7,15 +7,16 @@
   std::uint64_t before = number_;
   number_ = number;
   bool moved = false;
+  auto take_route = [this](const std::string& host, std::optional<Route> route) {
+    if (route)
+      routes_[host] = std::make_shared<const Route>(std::move(*route));
+    else
+      routes_.erase(host);
+  };
   for (auto& r : rows) {
     if (r.number <= before) continue;
-    if (r.key == kConfigKey) {
-      if (auto c = read_configuration(r.value)) {
-        config_ = std::move(*c.value);
-        routes_.clear();
-        for (auto& [host, route] : config_.routes) routes_[host] = std::make_shared<const Route>(route);
-      }
-    } else if (r.key.starts_with("i/")) {
+    if (enter_part(config_, r.key, r.gone ? nullptr : &r.value, take_route)) continue;
+    if (r.key.starts_with("i/")) {
       InstanceId id{r.key.substr(2)};
       auto i = r.gone ? std::nullopt : Instance::from(id, r.value);
       if (i)
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -1,5 +1,7 @@
 #include "ordinance/ordinance.h"
 
+#include "keel/constants.h"
+
 namespace pebblespindle {
 namespace {
 
@@ -11,15 +13,24 @@
   if (now && now->value == body) return {};
   auto next = read_configuration(body);
   if (!next) return {400, next.reason, {}};
-  std::uint64_t current = 0;
-  if (now) {
-    auto c = read_configuration(now->value);
-    if (c) current = c.value->revision;
-  }
+  Configuration in_place;
+  if (const Row* head = ledger.find(kConfigHeadKey)) enter_part(in_place, head->key, &head->value, {});
+  const std::uint64_t current = in_place.revision;
   if (u.value("base", std::uint64_t(0)) != current)
     return {412, "the version in place is " + std::to_string(current), {}};
   if (next.value->revision <= current) return {400, "Revision is not above " + std::to_string(current), {}};
-  return {200, {}, {{kConfigKey, body, 0, false}}};
+  // Nodes are told what has changed, whatever the size of the whole.
+  Verdict v{200, {}, {{kConfigKey, body, 0, false}}};
+  auto parts = configuration_parts(*next.value);
+  for (auto& prefix : {kServicePrefix, kRoutePrefix})
+    ledger.each(prefix, [&](const Row& r) {
+      if (!parts.count(r.key)) v.rows.push_back({r.key, {}, 0, true});
+    });
+  for (auto& [key, value] : parts) {
+    const Row* old = ledger.find(key);
+    if (!old || old->value != value) v.rows.push_back({key, value, 0, false});
+  }
+  return v;
 }
 
 Verdict judge_instance(const Ledger& ledger, const Json& u) {
@@ -79,6 +90,28 @@
   return {{"op", "lead"}, {"s", service}, {"x", expected}, {"v", next.json().dump()}};
 }
 
+std::vector<std::string> feed_lines(std::uint64_t from, std::uint64_t to, const std::vector<Row>& rows) {
+  std::vector<Json> pieces;
+  std::size_t size = constants::kPieceBytes;
+  for (auto& r : rows) {
+    // The body as sent is for the cores; who starts from nothing need not hear of what is gone.
+    if (r.key == kConfigKey || (from == 0 && r.gone)) continue;
+    if (size >= constants::kPieceBytes) pieces.push_back(Json::array()), size = 0;
+    Json row = Json::array({r.key, r.number});
+    if (!r.gone) row.push_back(r.value);
+    pieces.back().push_back(std::move(row));
+    size += r.key.size() + r.value.size() + 16;
+  }
+  if (pieces.empty()) pieces.push_back(Json::array());
+  std::vector<std::string> lines;
+  for (std::size_t i = 0; i < pieces.size(); ++i) {
+    Json m{{"t", "up"}, {"k", to}, {"r", std::move(pieces[i])}};
+    if (pieces.size() > 1) m["left"] = pieces.size() - 1 - i;
+    lines.push_back(m.dump() + "\n");
+  }
+  return lines;
+}
+
 Verdict judge_update(const Ledger& ledger, const Json& u) {
   if (!u.is_object()) return {400, "not an update", {}};
   const std::string op = u.value("op", "");
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -104,6 +104,40 @@
   return Out::ok(std::move(c));
 }
 
+std::map<std::string, std::string> configuration_parts(const Configuration& c) {
+  std::map<std::string, std::string> parts;
+  parts[kConfigHeadKey] = Json::array({c.revision, c.transaction_idle_ms}).dump();
+  for (auto& [name, s] : c.services)
+    parts[kServicePrefix + name] = Json::array({s.max_connections, s.sync_replicas}).dump();
+  for (auto& [host, r] : c.routes)
+    parts[kRoutePrefix + host] = Json::array({r.service, int(r.type), r.timeout_ms, r.target_ms, r.stale_ms,
+                                              r.priority, r.max_attempts, r.name})
+                                     .dump();
+  return parts;
+}
+
+bool enter_part(Configuration& c, const std::string& key, const std::string* value,
+                const std::function<void(const std::string&, std::optional<Route>)>& route) {
+  bool service = key.starts_with(kServicePrefix), is_route = key.starts_with(kRoutePrefix);
+  if (!service && !is_route && key != kConfigHeadKey) return false;
+  Json j = value ? Json::parse(*value, nullptr, false) : Json();
+  const std::string name = key.substr(service || is_route ? 2 : 0);
+  if (service) {
+    if (value)
+      c.services[name] = {name, j.at(0), j.at(1)};
+    else
+      c.services.erase(name);
+  } else if (!is_route) {
+    if (value) c.revision = j.at(0), c.transaction_idle_ms = j.at(1);
+  } else if (value) {
+    route(name, Route{j.at(7), name, j.at(0), RouteType(j.at(1).get<int>()), j.at(2), j.at(3), j.at(4),
+                      j.at(5), j.at(6)});
+  } else {
+    route(name, std::nullopt);
+  }
+  return true;
+}
+
 Json Instance::json() const {
   return {{"s", service},  {"a", address.text()}, {"z", zone}, {"c", capacity},
           {"d", draining}, {"p", primary},        {"n", calls}};
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -1,6 +1,8 @@
 // The records of the control state: how configuration, databases and services stand in the ledger.
 #pragma once
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,7 +28,7 @@
 
 struct Configuration {
   std::uint64_t revision = 0;
-  std::map<std::string, Route> routes;  // by host name
+  std::map<std::string, Route> routes;  // by host name; a chart keeps its own
   std::map<std::string, ServiceSpec> services;
   Millis transaction_idle_ms = 3000;
 };
@@ -59,7 +61,13 @@
   static std::optional<Lead> from(const std::string& text);
 };
 
-inline const std::string kConfigKey = "c";
+// A configuration stands in the ledger twice: as it was sent, which cores alone keep, and in parts, of which
+// nodes are told what a change has changed: a head, a row a service and a row a route.
+inline const std::string kConfigKey = "c", kConfigHeadKey = "h", kServicePrefix = "v/", kRoutePrefix = "r/";
+std::map<std::string, std::string> configuration_parts(const Configuration& c);  // values by key
+// Enters a part into a configuration; routes are handed out. False: not a part of one.
+bool enter_part(Configuration& c, const std::string& key, const std::string* value,
+                const std::function<void(const std::string& host, std::optional<Route>)>& route);
 inline std::string instance_key(const InstanceId& id) {
   return "i/" + id.value;
 }
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -170,6 +170,7 @@
   void take_core(const LineConn::Ptr& conn, const std::string& host) {
     if (core_) core_->close();
     core_ = conn;
+    pieces_.clear();
     core_host_ = host;
     core_zone_ = zone_of(host);
     next_core_ = 0;
@@ -208,10 +209,21 @@
       auto rows = rows_from_json(m["r"]);
       std::uint64_t k = m.value("k", std::uint64_t(0));
       if (!rows || k < number_) return;  // never back
-      for (auto& r : *rows.value) rows_.put(r);
+      if (!m.contains("left")) {
+        for (auto& r : *rows.value) rows_.put(r);
+        number_ = k;
+        if (berth_) berth_->send(std::string(line) + "\n");
+        return;
+      }
+      // One of several pieces: they count once the last is here.
+      core_->send("{\"t\":\"got\"}\n");
+      pieces_.insert(pieces_.end(), rows.value->begin(), rows.value->end());
+      if (m["left"] != 0) return;
+      auto whole = std::exchange(pieces_, {});
+      for (auto& r : whole) rows_.put(r);
       number_ = k;
-      if (berth_) berth_->send(std::string(line) + "\n");
-    } else if (t == "grant") {
+      if (berth_) berth_->send(Json{{"t", "up"}, {"k", k}, {"r", rows_to_json(whole)}}.dump() + "\n");
+    } else if (t == "grant" || t == "tight") {
       if (berth_) berth_->send(std::string(line) + "\n");
     }
   }
@@ -259,6 +271,7 @@
   Millis heard_ = 0, asked_ = 0, next_renew_ = 0, try_home_at_ = 0, ask_next_at_ = 0;
   Json last_renew_;
   Ledger rows_;
+  std::vector<Row> pieces_;  // of a feed under way
   std::uint64_t number_ = 0;
 };
 
