Positions pooled at the core; one missed answer of several nodes; tight databases are let go of at once

Causes: (1) a node asks a service some once in half a minute, so it knew no position of the primary and sent bounded reads there, mostly to another zone. Nodes report positions stamped by their core's clock, and ask for one when a replica at home could serve a read (src/roster/soundings.h has the argument that age is never understated). (2) Two missed answers in a row take a minute at that rate: where a node asks seldom one counts, and four nodes of two zones are as good as two misses of one.

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -22,7 +22,8 @@
 class Berth : public berth::Port {
  public:
   explicit Berth(Settings s)
-      : settings_(std::move(s)), engine_(*this, loop_.timers(), settings_.zone, settings_.drain_ms, std::random_device{}()) {}
+      : settings_(std::move(s)),
+        engine_(*this, loop_.timers(), settings_.zone, settings_.drain_ms, std::random_device{}()) {}
 
   int run() {
     auto front = settings_.listeners.find("Frontend");
@@ -53,7 +54,7 @@
       touch();
       engine_.take_pace();
     });
-    loop_.every(kScarceIdleMs / 2, [this] {
+    loop_.every(kShedStepMs, [this] {
       touch();
       engine_.shed_idle();
     });
@@ -116,8 +117,10 @@
     servers_.erase(it);
   }
   void cleared(const InstanceId& id) override {
-    if (suspected_.erase(id) == 0) return;
-    log_.say("Database " + id.value + " answers again.");
+    auto told = suspected_.find(id);
+    if (told == suspected_.end()) return;
+    if (!told->second.once) log_.say("Database " + id.value + " answers again.");
+    suspected_.erase(told);
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}}.dump() + "\n");
   }
   void full(const InstanceId& id) override {
@@ -126,14 +129,21 @@
   void slow(const InstanceId& id) override {
     if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"slow", true}}.dump() + "\n");
   }
-  void suspect(const InstanceId& id, bool refused) override {
+  void suspect(const InstanceId& id, Trouble trouble) override {
     Millis now = loop_.now();
+    bool refused = trouble == Trouble::kRefused, once = trouble == Trouble::kOneMissed;
     auto& last = suspected_[id];
-    if (last != 0 && now - last < kCoreSilentMs) return;
-    if (last == 0)
+    if (last.at != 0 && now - last.at < kCoreSilentMs && (once || !last.once)) return;
+    if (!once && (last.at == 0 || last.once))
       log_.say("Database " + id.value + (refused ? " refuses connections." : " gives no answers."));
-    last = now;
-    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"r", refused}}.dump() + "\n");
+    last = {now, once};
+    if (!feed_) return;
+    Json m{{"t", "sus"}, {"id", id.value}, {"r", refused}};
+    if (once) m["once"] = true;
+    feed_->send(m.dump() + "\n");
+  }
+  void sound(const std::string& service) override {
+    if (feed_) feed_->send(Json{{"t", "sound"}, {"s", service}, {"at", loop_.now()}}.dump() + "\n");
   }
 
  private:
@@ -225,7 +235,9 @@
     touch();
     if (!feed_) return;
     told_ = engine_.acknowledged();
-    feed_->send(Json{{"t", "renew"}, {"at", loop_.now()}, {"ack", told_}}.dump() + "\n");
+    Json m{{"t", "renew"}, {"at", loop_.now()}, {"ack", told_}};
+    if (Json met = engine_.take_soundings(); !met.is_null()) m["met"] = std::move(met);
+    feed_->send(m.dump() + "\n");
     // An acknowledgement that waits for running work follows as soon as that is over.
     if (told_ < engine_.chart().number() && !watching_) watch();
   }
@@ -256,9 +268,13 @@
       if (!was && engine_.ready())
         log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
       renew();
+    } else if (t == "depth") {
+      auto p = Position::parse(m.value("p", ""));
+      engine_.sounded(m.value("s", ""), m.value("at", Millis(0)) - m.value("age", Millis(0)), p);
     } else if (t == "tight") {
       engine_.tight({m.value("id", "")});
     } else if (t == "grant") {
+      engine_.hear_clock(m.value("life", std::uint64_t(0)), m.value("c", Millis(0)));
       engine_.lease(m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs,
                     m.value("k", std::uint64_t(0)), m.value("n", std::size_t(1)));
     }
@@ -310,7 +326,11 @@
   std::unordered_map<SessionId, LineConn::Ptr> clients_;
   std::unordered_map<ConnId, LineConn::Ptr> servers_;
   std::set<ConnId> opening_, abandoned_;
-  std::map<InstanceId, Millis> suspected_;
+  struct Told {  // to the core, of a database
+    Millis at = 0;
+    bool once = false;
+  };
+  std::map<InstanceId, Told> suspected_;
   std::set<SessionId> held_back_;
   SessionId last_session_ = 0;
   LineConn::Ptr feed_;
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -271,6 +271,7 @@
   timers_.cancel(w.wait);
   if (!w.queued_at.empty()) std::erase(pools_[w.queued_at].waiting, s.id);
   if (!w.held_for.empty()) std::erase(held_[w.held_for], s.id);
+  if (!w.sounding.empty()) std::erase(sounding_[w.sounding], s.id);
   s.work = Work{};
   s.busy = false;
 }
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -25,10 +25,13 @@
   virtual void open_server(ConnId, const Endpoint&) = 0;
   virtual void to_server(ConnId, std::string bytes) = 0;
   virtual void close_server(ConnId, bool orderly) = 0;
-  virtual void suspect(const InstanceId&, bool refused) = 0;  // refused, or silent
-  virtual void full(const InstanceId&) = 0;                   // it takes no more connections
-  virtual void slow(const InstanceId&) = 0;                   // a primary answers, but far too slowly
-  virtual void cleared(const InstanceId&) = 0;                // it answers after all
+  // How it was met: no answer once where few are asked for, no answers, connections refused.
+  enum class Trouble { kOneMissed, kSilent, kRefused };
+  virtual void suspect(const InstanceId&, Trouble) = 0;
+  virtual void sound(const std::string& service) = 0;  // asks the core for a position of its primary
+  virtual void full(const InstanceId&) = 0;            // it takes no more connections
+  virtual void slow(const InstanceId&) = 0;            // a primary answers, but far too slowly
+  virtual void cleared(const InstanceId&) = 0;         // it answers after all
 };
 
 class Engine {
@@ -56,6 +59,17 @@
 
   // A database has turned connections away somewhere: fewer are kept to it for a while.
   void tight(const InstanceId& id) { pools_[id].tight_until = now_ + constants::kTightMs; }
+  // The core's clock, as just heard; `life` names the process whose clock it is.
+  void hear_clock(std::uint64_t life, Millis core_time) {
+    core_life_ = life;
+    core_ahead_ = core_time - (now_ + 1);
+  }
+  // Positions of primaries met since the last call, for the core (roster/soundings.h); null when there are
+  // none.
+  Json take_soundings();
+  // The core's answer to Port::sound: asked for at `asked` or later by this node's clock; none when it knows
+  // none.
+  void sounded(const std::string& service, Millis asked, std::optional<Position> position);
   // Closes pooled connections that have been idle for too long, and without a lease the sessions that rest.
   void shed_idle();
   // What was out of the ordinary since the last call, for the core to see; null when nothing was.
@@ -95,6 +109,8 @@
     Timers::Id timer = 0, patience = 0, wait = 0;
     InstanceId queued_at;  // waits for a connection to it
     std::string held_for;  // waits for the lead of this service
+    std::string sounding;  // waits for a position of this service's primary
+    bool sounded = false;  // has waited for one
   };
   struct Session {
     SessionId id = 0;
@@ -161,7 +177,7 @@
     bool suspected = false;
   };
   struct Choice {
-    enum class Kind { kGo, kHold, kRefuse } kind = Kind::kRefuse;
+    enum class Kind { kGo, kHold, kSound, kRefuse } kind = Kind::kRefuse;
     InstanceId instance;
     Position require;
     std::string code, text;
@@ -191,6 +207,8 @@
   void attempt(SessionId id);
   void hold(Session& s, const std::string& service);
   void release_held(const std::string& service);
+  bool worth_sounding(const std::string& service, const Choice& primary) const;
+  void sound(Session& s, const std::string& service);
   void refuse(Session& s, const std::string& code, const std::string& why);
   bool cut_off(const std::string& service) const;
   Millis hold_limit(const Session& s) const;
@@ -241,8 +259,16 @@
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnId, Server> servers_;
   std::map<InstanceId, Pool> pools_;
-  std::map<std::string, Freshness> fresh_;             // by service
-  std::map<std::string, std::deque<SessionId>> held_;  // by service
+  std::map<std::string, Freshness> fresh_;                 // by service
+  std::map<std::string, std::deque<SessionId>> held_;      // by service
+  std::map<std::string, std::deque<SessionId>> sounding_;  // by service
+  struct Sounding {
+    Millis asked = 0;
+    Position position;
+  };
+  std::map<std::string, Sounding> soundings_;  // by service: met since the core was told
+  std::uint64_t core_life_ = 0;
+  Millis core_ahead_ = 0;  // the core's clock less this one's, at least
   std::map<std::string, Millis> suspended_since_;
   std::map<std::string, std::uint64_t> shape_names_;
   struct RouteSeen {
--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -232,7 +232,10 @@
   double& worst = p.worst[s->route->name];
   worst = std::max(double(now_ - w.sent_at), worst * kWorstDecay);
   if (idle.position) {
-    if (c.observing) fresh_[c.service].observe(w.sent_at, *idle.position);
+    if (c.observing) {
+      fresh_[c.service].observe(w.sent_at, *idle.position);
+      soundings_[c.service] = {w.sent_at, *idle.position};
+    }
     if (c.error_code.empty()) {  // a result: replaced by the executing database's, as the paper has it
       s->vector = LVector(*idle.position);
       s->vector_service = c.service;
@@ -346,9 +349,11 @@
   Work& w = s->work;
   InstanceId instance = c->instance;
   bool silent = p.last_answer < w.sent_at && ++p.silent >= kSilentReports;
-  if (silent) {
+  // Where this node asks seldom, its next request is far off: others have met it as well.
+  bool seldom = p.last_answer < w.sent_at - kSeldomMs;
+  if (silent || seldom) {
     p.suspected = true;
-    port_.suspect(instance, false);
+    port_.suspect(instance, silent ? Port::Trouble::kSilent : Port::Trouble::kOneMissed);
   }
   bool tx = s->state == 'T';
   bool movable = !tx || !s->tx_touched;
@@ -395,7 +400,7 @@
     if (sent) met(c->instance, false, now_ - s->work.sent_at);
     if (Pool& p = pools_[c->instance]; p.last_answer < s->work.sent_at) {
       p.suspected = true;
-      port_.suspect(c->instance, false);
+      port_.suspect(c->instance, Port::Trouble::kSilent);
     }
     drop_server(conn, false);
   }
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -161,6 +161,11 @@
   }
   Choice primary = choose_primary(route.service);
   auto bound = fresh_[route.service].bound(now_, route.stale_ms);
+  if (!bound && !s.work.sounded && worth_sounding(route.service, primary)) {
+    Choice sound;
+    sound.kind = Choice::Kind::kSound;
+    return sound;
+  }
   if (!bound) return primary;  // its answer is the next observation
   Position require = *bound;
   if (route.type == RouteType::kReadYourWrites) {
@@ -219,6 +224,7 @@
     return acquire(*s, c.instance);
   }
   if (c.kind == Choice::Kind::kHold) return hold(*s, s->route->service);
+  if (c.kind == Choice::Kind::kSound) return sound(*s, s->route->service);
   refuse(*s, c.code, c.text);
 }
 
@@ -306,7 +312,7 @@
   std::uint64_t x = std::hash<std::string>()(id.value) ^ (lot_ * 0x9e3779b97f4a7c15ull);
   x = (x ^ (x >> 29)) * 0xbf58476d1ce4e5b9ull;
   double drawn = double((x ^ (x >> 32)) >> 11) / double(1ull << 53);
-  return drawn < kKeptShare * fair ? kIdleShedMs : kScarceIdleMs;
+  return drawn < kKeptShare * fair ? kIdleShedMs : 0;
 }
 
 void Engine::shed_idle() {
@@ -407,7 +413,7 @@
   c.idle_since = now_;
   Pool& p = pools_[c.instance];
   InstanceId id = c.instance;
-  bool surplus = p.waiting.empty() && !p.idle.empty() && fair_share(id) < kScarceShare;
+  bool surplus = p.waiting.empty() && fair_share(id) < kScarceShare && (!p.idle.empty() || keep(id, p) == 0);
   if (!chart_.instance(id) || p.total > share(id) || surplus) return drop_server(c.id, true);
   p.idle.push_back(c.id);
   hand_out(id);
@@ -468,7 +474,7 @@
   if (sent) met(instance, false, now_ - s->work.sent_at);
   if (!greeted) {
     p.suspected = true;
-    port_.suspect(instance, refused && !silent);
+    port_.suspect(instance, refused && !silent ? Port::Trouble::kRefused : Port::Trouble::kSilent);
     p.closed_off = false;  // so that the pause grows
     close_off(instance);
   }
--- a/src/berth/engine_sight.cc
+++ b/src/berth/engine_sight.cc
@@ -22,6 +22,59 @@
   p.trouble = kTroubleMost / 2;  // one more failure on trial is enough
 }
 
+// Where this node asks a service too seldom to know how far its primary stands, others of its core know:
+// worth a question when a replica at home could serve the read instead of a primary elsewhere, or of none.
+bool Engine::worth_sounding(const std::string& service, const Choice& primary) const {
+  if (core_life_ == 0) return false;
+  const Lead* lead = chart_.lead(service);
+  bool near = false;
+  for (auto* i : chart_.of(service)) {
+    if (!usable(*i) || i->draining) continue;
+    bool leads = lead && lead->primary == i->id;
+    if (leads && i->zone == zone_ && primary.kind == Choice::Kind::kGo) return false;
+    near = near || (!leads && (i->zone == zone_ || primary.kind != Choice::Kind::kGo));
+  }
+  return near;
+}
+
+void Engine::sound(Session& s, const std::string& service) {
+  s.work.sounded = true;
+  s.work.sounding = service;
+  auto& q = sounding_[service];
+  q.push_back(s.id);
+  timers_.cancel(s.work.wait);
+  s.work.wait = timers_.at(std::min(now_ + kSoundMs, s.work.deadline), [this, service, id = s.id] {
+    Session* x = find(id);
+    if (!x) return;
+    x->work.wait = 0;
+    x->work.sounding.clear();
+    std::erase(sounding_[service], id);
+    attempt(id);
+  });
+  if (q.size() == 1) port_.sound(service);
+}
+
+void Engine::sounded(const std::string& service, Millis asked, std::optional<Position> position) {
+  if (position) fresh_[service].observe(asked, *position);
+  auto q = std::exchange(sounding_[service], {});
+  sounding_.erase(service);
+  for (auto id : q)
+    if (Session* s = find(id)) {
+      s->work.sounding.clear();
+      timers_.cancel(s->work.wait);
+    }
+  for (auto id : q) attempt(id);
+}
+
+Json Engine::take_soundings() {
+  auto met = std::exchange(soundings_, {});
+  if (met.empty() || core_life_ == 0) return {};
+  Json p = Json::array();
+  for (auto& [service, s] : met)
+    p.push_back(Json::array({service, s.position.text(), s.asked + core_ahead_}));
+  return {{"life", core_life_}, {"p", p}};
+}
+
 Json Engine::take_sights() {
   Json databases = Json::array(), routes = Json::array();
   auto mean = [this](const InstanceId& id) {
--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -71,9 +71,9 @@
 }
 
 void Failover::suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
-                       bool refused) {
+                       bool refused, bool once) {
   auto& r = reports_[id];
-  r.nodes[node] = {zone, now};
+  r.nodes[node] = {zone, now, once};
   if (refused) r.refused = now;
 }
 
@@ -105,9 +105,12 @@
 
 std::size_t Failover::zones_missing(const InstanceId& id) {
   auto& r = reports_[id];
-  std::erase_if(r.nodes, [&](auto& n) { return n.second.second < now_ - kSuspectWindowMs; });
+  std::erase_if(r.nodes, [&](auto& n) { return n.second.at < now_ - kSuspectWindowMs; });
+  // One missed answer of one node says little; of several nodes, as much as several of one.
+  bool many = r.nodes.size() >= kFewNodes;
   std::set<std::string> zones;
-  for (auto& [node, report] : r.nodes) zones.insert(report.first);
+  for (auto& [node, miss] : r.nodes)
+    if (many || !miss.once) zones.insert(miss.zone);
   return zones.size();
 }
 
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -34,9 +34,9 @@
 
   void tick(Millis now);
   bool busy() const;  // a switch is under way
-  // A node met trouble with a database.
+  // A node met trouble with a database. Once: it asks it seldom, and has missed one answer.
   void suspect(Millis now, const InstanceId& id, const std::string& zone, const std::string& node,
-               bool refused);
+               bool refused, bool once = false);
   // A node finds that a primary answers, but far too slowly.
   void slow(Millis now, const InstanceId& id, const std::string& zone, const std::string& node);
   // The same node has an answer of it after all.
@@ -62,7 +62,12 @@
     bool told = false;
   };
   struct Reports {
-    std::map<std::string, std::pair<std::string, Millis>> nodes;  // who misses answers: its zone, since when
+    struct Miss {
+      std::string zone;
+      Millis at = 0;
+      bool once = false;
+    };
+    std::map<std::string, Miss> nodes;  // who misses answers
     std::map<std::string, std::pair<std::string, Millis>> slow;
     Millis agreed_since = -1;  // half of the nodes have found it slow ever since
     Millis refused = -100000;
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -25,7 +25,7 @@
   start.bootstrap = settings_.bootstrap;
   start.losses = std::size_t(settings_.machine_losses);
   std::random_device random;
-  start.life = std::uint64_t(random()) << 32 | random();
+  start.life = life_ = std::uint64_t(random()) << 32 | random();
   node_ = std::make_unique<chain::Node>(std::move(start), *disk_, *this, loop_.now());
   duty::Failover::Out out;
   out.holds = [this] { return node_->leads(loop_.now()); };
@@ -271,17 +271,25 @@
   } else if (kind == "got") {
     ++t->taken;
     feed_on(*t);
+  } else if (kind == "sound") {
+    const std::string service = m.value("s", "");
+    Json a{{"t", "depth"}, {"s", service}, {"at", m.value("at", Json())}};
+    if (auto d = soundings_.ask(now, service)) a["p"] = d->position.text(), a["age"] = d->age;
+    t->conn->send(a.dump() + "\n");
   } else if (kind == "full") {
     tighten({m.value("id", "")}, t.get());
   } else if (kind == "renew") {
     bool grant = may_grant();
     roster_.renew(now, t->node, t->zone, m.value("ack", std::uint64_t(0)), grant);
+    if (m.contains("met")) on_soundings(*t, m["met"]);
     if (grant) {
       t->conn->send(Json{{"t", "grant"},
                          {"at", m.value("at", Json())},
                          {"ms", kNodeLeaseMs},
                          {"k", node_->ledger().stored()},
-                         {"n", members()}}
+                         {"n", members()},
+                         {"life", life_},
+                         {"c", now}}
                         .dump() +
                     "\n");
     }
@@ -309,6 +317,16 @@
   }
 }
 
+// Positions of primaries that a node met, stamped by this core's clock as the node knows it.
+void Harbourmaster::on_soundings(const Tender& t, const Json& met) {
+  if (met.value("life", std::uint64_t(0)) != life_) return;  // the clock of another core, or of a former life
+  for (auto& e : met.at("p")) {
+    auto p = Position::parse(e.at(1).get<std::string>());
+    if (!chart_.lead(e.at(0)) || (p && soundings_.report(loop_.now(), e.at(0), *p, e.at(2)))) continue;
+    return log_.say("A position told by " + t.node + " cannot be; it is dropped.");
+  }
+}
+
 // What a node met at a database: to whoever holds the duty.
 void Harbourmaster::on_suspect(const Json& report) {
   Millis now = loop_.now();
@@ -324,7 +342,8 @@
   else if (report.value("slow", false))
     failover_->slow(now, id, report.value("z", ""), node);
   else
-    failover_->suspect(now, id, report.value("z", ""), node, report.value("r", false));
+    failover_->suspect(now, id, report.value("z", ""), node, report.value("r", false),
+                       report.value("once", false));
   failover_->tick(now);
 }
 
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -14,6 +14,7 @@
 #include "ledger/sqlite_disk.h"
 #include "lookout/lookout.h"
 #include "roster/roster.h"
+#include "roster/soundings.h"
 
 namespace pebblespindle {
 
@@ -82,6 +83,7 @@
   std::size_t members() const;  // nodes with a live lease, here and at the other cores
   bool all_acknowledged(std::uint64_t number) const;
   void on_suspect(const Json& report);
+  void on_soundings(const Tender& t, const Json& met);
 
   Log log_{"harbourmaster"};
   Settings settings_;
@@ -91,6 +93,8 @@
   std::unique_ptr<duty::Failover> failover_;
   DbCaller db_{loop_};
   Roster roster_;
+  Soundings soundings_;
+  std::uint64_t life_ = 0;             // names this process
   std::map<std::string, Peer> peers_;  // by host
   std::map<std::shared_ptr<Tender>, bool> tenders_;
   std::unique_ptr<Acceptor> inner_;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -13,7 +13,7 @@
     4 << 20;  // bytes; several whole states wait for a core that reads nothing; then the link starts anew
 constexpr std::size_t kMaxHttpBodyBytes = 2 << 20;  // bytes; four times the largest configuration seen
 constexpr std::size_t kPieceBytes = 12288;  // bytes; 50 ms of a link of 2 Mbit/s: leases pass in between
-constexpr std::size_t kPiecesAhead = 2;     // pieces on their way to a node; the link does not idle between two
+constexpr std::size_t kPiecesAhead = 2;  // pieces on their way to a node; the link does not idle between two
 constexpr std::size_t kMaxHttpHeaderBytes = 16384;  // bytes; ordinary header bound for control calls
 constexpr std::size_t kReadChunkBytes = 16384;  // bytes; one shared read buffer per process, not per socket
 constexpr std::size_t kBackpressureBytes =
@@ -57,10 +57,11 @@
 constexpr std::int64_t kInfoTimeoutMs =
     400;  // ms; many round trips: silence here is one vote that it is dark
 constexpr std::int64_t kPlatformTimeoutMs =
-    1000;                                        // ms; the platform may be slow; then ask the database itself
-constexpr std::int64_t kPromoteCheckMs = 1500;   // ms; without a beat of the new primary, ask it by INFO
-constexpr std::int64_t kPromoteRetryMs = 250;    // ms; pause before another call after 409, 429 or silence
-constexpr std::int64_t kSwitchRetryMs = 400;     // ms; pause before an unfinished switch is taken up again
+    1000;                                       // ms; the platform may be slow; then ask the database itself
+constexpr std::int64_t kPromoteCheckMs = 1500;  // ms; without a beat of the new primary, ask it by INFO
+constexpr std::int64_t kPromoteRetryMs = 250;   // ms; pause before another call after 409, 429 or silence
+constexpr std::int64_t kSwitchRetryMs = 400;    // ms; pause before an unfinished switch is taken up again
+constexpr std::size_t kFewNodes = 4;  // nodes that missed one answer each; fewer may all have met a bad link
 constexpr std::int64_t kSuspectQuietMs = 1500;   // ms; an answered INFO clears suspicion for this long
 constexpr std::int64_t kSuspectWindowMs = 3000;  // ms; reports older than this no longer count
 constexpr std::int64_t kDepartedMs =
@@ -82,14 +83,15 @@
     1000;  // ms; a new connection answers within tens of ms when healthy
 constexpr std::int64_t kLimitPauseMs =
     25;  // ms; after CONNLIMIT: other nodes hand connections back within a few answers
-constexpr double kScarceShare = 2.0;         // connections a node; below this not every node can keep its own
-constexpr std::size_t kScarceMost = 3;       // connections a node opens to one database where they are scarce
-constexpr std::int64_t kScarceIdleMs = 500;  // ms; a busy database is asked again sooner; others let go
+constexpr double kScarceShare = 2.0;       // connections a node; below this not every node can keep its own
+constexpr std::size_t kScarceMost = 3;     // connections a node opens to one database where they are scarce
+constexpr std::int64_t kShedStepMs = 250;  // ms; how often unused connections are looked through
 constexpr std::int64_t kTightMs =
     60000;  // ms; a database that turned a connection away is spared this long: one refusal a minute tells
-constexpr double kKeptShare = 0.75;  // of the connections there are: what nodes keep to a database that is tight
-constexpr std::int64_t kTrialFirstMs = 50;   // ms; a closed-off database is first tried again after this
-constexpr std::int64_t kTrialMostMs = 1600;  // ms; trials are spaced at most this far: one connection each
+constexpr double kKeptShare =
+    0.8;  // of the places at a tight database: what nodes keep; the rest is for the others
+constexpr std::int64_t kTrialFirstMs = 50;     // ms; a closed-off database is first tried again after this
+constexpr std::int64_t kTrialMostMs = 1600;    // ms; trials are spaced at most this far: one connection each
 constexpr std::int64_t kLaggingAvoidMs = 60;   // ms; a replica that answered LAGGING gets time to apply
 constexpr std::int64_t kDrainGuardMs = 1000;   // ms; stop this long before DrainMs runs out
 constexpr std::int64_t kSwitchDrainMs = 250;   // ms; running work may end at a primary that hands over
@@ -103,6 +105,10 @@
 constexpr int kMaxSessions = 3500;                // sessions a berth accepts; below its descriptor limit
 constexpr std::size_t kMaxSessionValues = 256;    // values or prepared names one session may hold
 constexpr std::size_t kMaxPreparedPerConn = 200;  // prepared shapes on one server connection before RESET
+constexpr std::int64_t kSoundMs =
+    15;  // ms; a round trip to a core, several times over; then the primary is asked
+constexpr std::int64_t kSeldomMs =
+    2000;                          // ms; a database not heard for this long before is asked seldom here
 constexpr int kSilentReports = 2;  // unanswered requests in a row before a database is reported
 
 // --- databases that are hard to read ----------------------------------------
--- a/src/ordinance/ordinance.h
+++ b/src/ordinance/ordinance.h
@@ -11,8 +11,8 @@
 // Replaces the lead of a service only if it still stands as expected (empty: none yet).
 Json lead_update(const std::string& service, const std::string& expected, const Lead& next);
 
-// What a node that stands at `from` is told so that it stands at `to`, as lines: the rows it needs, in pieces of
-// bounded size that count together, with the last.
+// What a node that stands at `from` is told so that it stands at `to`, as lines: the rows it needs, in pieces
+// of bounded size that count together, with the last.
 std::vector<std::string> feed_lines(std::uint64_t from, std::uint64_t to, const std::vector<Row>& rows);
 
 chain::Verdict judge_update(const Ledger& ledger, const Json& update);
--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -31,6 +31,7 @@
     if (current != u["expect"]) return {412, "lost the race", {}};
     return {200, {}, {{u["key"], u["value"], 0, false}}};
   }
+  int rises = 0;  // of what is committed: each is fed to every node
   void committed(std::uint64_t) override;
   void note(const std::string&) override {}
 };
@@ -128,6 +129,7 @@
   fleet.net.send(node ? node->self() : host, chain::host_of(to), m);
 }
 void Core::committed(std::uint64_t) {
+  ++rises;
   fleet.check_history();
 }
 
@@ -290,6 +292,24 @@
   }
 }
 
+TEST(Chain, UpdatesThatComeTogetherShareTheirSyncsAndFeeds) {
+  Fleet f(5, 5, 3, 2);
+  f.run(6000);
+  for (auto& h : f.hosts) f.cores[h]->rises = 0;
+  int acked = 0;
+  const int offered = 400;
+  for (int i = 0; i < offered; ++i)
+    f.at(f.hosts[std::size_t(i) % 5])
+        .submit(f.net.now, {{"key", "k" + std::to_string(i)}, {"expect", ""}, {"value", "v"}},
+                [&acked](Answer a) { acked += a.status == 200; });
+  f.run(constants::kSubmitGiveUpMs + 50);
+  EXPECT_EQ(acked, offered);
+  for (auto& h : f.hosts) {
+    EXPECT_LE(f.cores[h]->rises, 20) << h;
+    EXPECT_EQ(f.at(h).ledger().since(0).size(), std::size_t(offered));
+  }
+}
+
 TEST(Chain, ACutOffTailIsSilentBeforeItIsPutOut) {
   Fleet f(7);
   f.run(1500);
--- a/tests/engine_small_test.cc
+++ b/tests/engine_small_test.cc
@@ -103,8 +103,9 @@
     lines[id].heard.push_back(bytes.substr(0, bytes.find("\r\n")));
   }
   void close_server(ConnId id, bool) override { lines[id].open = false; }
-  void suspect(const InstanceId&, bool) override {}
+  void suspect(const InstanceId&, Trouble) override {}
   void full(const InstanceId&) override {}
+  void sound(const std::string& service) override { asked_depth.push_back(service); }
   void slow(const InstanceId&) override {}
   void cleared(const InstanceId&) override {}
 
@@ -112,6 +113,7 @@
   Millis now = 10000;
   std::uint64_t number = 0;
   std::string config;
+  std::vector<std::string> asked_depth;
   berth::Engine engine;
   std::map<ConnId, Line> lines;
   std::map<SessionId, std::string> told;
@@ -199,7 +201,7 @@
     EXPECT_EQ(q.answer("COMPLETE 7.1"), 1);
     EXPECT_EQ(q.answer("COMPLETE 7.1"), 1);
     EXPECT_EQ(q.open_lines(), scarce ? 1u : 2u);
-    q.pass(constants::kScarceIdleMs + 1);
+    q.pass(constants::kShedStepMs);
     q.engine.shed_idle();
     EXPECT_EQ(q.open_lines(), scarce ? 1u : 2u);
   }
@@ -213,7 +215,7 @@
     q.say(1, "QUERY x FETCH k");
     EXPECT_EQ(q.answer("COMPLETE 7.1"), 1);
     q.engine.tight({"db0"});
-    q.pass(constants::kScarceIdleMs + 1);
+    q.pass(constants::kShedStepMs);
     q.engine.shed_idle();
     kept += int(q.open_lines());
   }
@@ -221,6 +223,33 @@
   EXPECT_NEAR(double(kept) / nodes, constants::kKeptShare * 46 / 60, 0.1);
 }
 
+// A node that has not asked a service of late asks its core how far the primary stands, so that a replica at
+// home can serve the read; it is asked once, and not waited for when nothing comes.
+TEST(Engine, AReadWithoutAPositionAsksTheCoreAndGoesToTheReplicaAtHome) {
+  for (bool answered : {true, false}) {
+    Quay q;
+    q.feed(false, "db1");  // the lead is elsewhere, db0 is the replica at home
+    q.lease();
+    q.engine.hear_clock(5, 70000);
+    q.engine.client_open(1);
+    q.say(1, "CONNECT bound a");
+    q.say(1, "QUERY a FETCH k");
+    ASSERT_EQ(q.asked_depth, std::vector<std::string>{"s"});
+    EXPECT_EQ(q.open_lines(), 0u);
+    if (answered)
+      q.engine.sounded("s", q.now - 900, Position{1, 7});
+    else
+      q.pass(constants::kSoundMs);
+    q.serve();
+    std::string at_home, elsewhere;
+    for (auto& [id, l] : q.lines)
+      for (auto& h : l.heard) (l.at.port == 1 ? at_home : elsewhere) += h;
+    EXPECT_EQ(at_home.find("WAITFOR 1.7 FETCH k") != std::string::npos, answered) << at_home;
+    EXPECT_EQ(elsewhere.empty(), answered) << elsewhere;
+    EXPECT_EQ(q.asked_depth.size(), 1u);
+  }
+}
+
 TEST(Engine, ReadsLeaveADatabaseThatFailsThem) {
   Quay q;
   q.feed();
--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -208,9 +208,10 @@
     });
   }
   void close_server(ConnId id, bool) override { lines[id].open = false; }
-  void suspect(const InstanceId&, bool) override {}
+  void suspect(const InstanceId&, Trouble) override {}
   void cleared(const InstanceId&) override {}
   void full(const InstanceId&) override {}
+  void sound(const std::string&) override {}
   void slow(const InstanceId&) override {}
   void to_server(ConnId id, std::string bytes) override {
     auto& l = lines[id];
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -165,7 +165,7 @@
         if (!d.primary && d.up && !d.dark && !d.deaf && d.held == 0 && leader->second.up &&
             !leader->second.dark)
           d.received = leader->second.received, d.term = leader->second.term;
-        if (d.primary && (!d.up || d.dark))
+        if (d.primary && (!d.up || d.dark) && !quiet)
           for (const char* zone : {"z0", "z1"})
             failover->suspect(now, {name}, zone, std::string("n") + zone, !d.dark);
       }
@@ -184,7 +184,7 @@
   std::unique_ptr<Failover> failover;
   std::multimap<Millis, std::function<void()>> events;
   Position acked{};
-  bool holds = true, asked_of_hold = false;
+  bool holds = true, asked_of_hold = false, quiet = false;  // quiet: nodes report nothing by themselves
   int generation = 0, promotes = 0;
   std::uint64_t calls = 0;
   double platform_trouble = 0;
@@ -245,6 +245,28 @@
   EXPECT_EQ(sea.promotes, 0);
 }
 
+// Where a node asks a database twice a minute it will not miss two answers: those of several nodes count
+// together.
+TEST(Failover, OneMissedAnswerOfSeveralNodesIsAsGoodAsSeveralOfOne) {
+  auto promotes = [](int nodes, int zones, bool dark) {
+    Sea sea(11);
+    sea.dbs["db0"].dark = dark;
+    sea.quiet = true;  // no other reports
+    for (int i = 0; i < 4000; ++i) {
+      if (i < 500 && i % 100 == 0)
+        for (int n = 0; n < nodes; ++n)
+          sea.failover->suspect(sea.now, {"db0"}, "z" + std::to_string(n % zones), "n" + std::to_string(n),
+                                false, true);
+      sea.step();
+    }
+    return sea.promotes;
+  };
+  EXPECT_EQ(promotes(3, 2, true), 0);  // they may all have met a bad link
+  EXPECT_EQ(promotes(8, 1, true), 0);
+  EXPECT_EQ(promotes(4, 2, true), 1);
+  EXPECT_EQ(promotes(8, 2, false), 0) << "it answers when it is asked";
+}
+
 TEST(Failover, HandsTheLeadOverWhenNodesOfSeveralZonesFindItSlow) {
   Sea sea(8);
   auto report = [&](int nodes, int zones) {
