Cores are dialled again at once; status gives sums first; rows of databases take less room

(2) status printed every node and database. (3) a node that starts is sent every database over 2 Mbit/s.

--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -313,7 +313,7 @@
     roster_.left(t->node);
     tell_peers(false);
   } else if (kind == "status") {
-    t->conn->send(status().dump() + "\n");
+    t->conn->send(status(false).dump() + "\n");
   }
 }
 
@@ -467,7 +467,8 @@
       });
     }
   }
-  if (r.path == "/status" && r.method == "GET") return answer({200, status().dump(2) + "\n", {}});
+  if (r.path == "/status" && r.method == "GET") return answer({200, status(false).dump(2) + "\n", {}});
+  if (r.path == "/status/whole" && r.method == "GET") return answer({200, status(true).dump(2) + "\n", {}});
   answer(plain(404, "no such place"));
 }
 
@@ -540,40 +541,54 @@
   });
 }
 
-Json Harbourmaster::status() const {
+Json Harbourmaster::status(bool whole) const {
   Millis now = loop_.now();
-  Json nodes = Json::object(), databases = Json::array(), leads = Json::object(), members = Json::array(),
-       behind = Json::array();
+  Json members = Json::array(), catching_up = Json::array();
   for (auto& m : node_->view().members) {
     members.push_back(m.name);
-    bool whole = m.name == node_->self() ? node_->in_step() : node_->in_step(m.name);
-    if (!whole) behind.push_back(m.name);
+    if (!(m.name == node_->self() ? node_->in_step() : node_->in_step(m.name))) catching_up.push_back(m.name);
+  }
+  // Sums first, and what is out of the ordinary by name: with hundreds of nodes the rest tells nothing.
+  Json zones = Json::object(), behind = Json::array(), suspended = Json::array(), leaving = Json::array();
+  for (auto& [name, e] : roster_.nodes()) {
+    zones[e.zone] = zones.value(e.zone, 0) + 1;
+    if (e.acked < node_->committed()) behind.push_back(name);
   }
-  for (auto& [name, e] : roster_.nodes())
-    nodes[name] = {{"zone", e.zone}, {"acknowledged", e.acked}, {"lease_ms", e.until - now}};
   Chart chart;
   chart.follow(node_->ledger());
   for (auto& [id, i] : chart.instances())
-    databases.push_back({{"id", id.value},
-                         {"service", i.service},
-                         {"zone", i.zone},
-                         {"address", i.address.text()},
-                         {"draining", i.draining},
-                         {"primary", i.primary}});
+    if (i.draining) leaving.push_back(id.value);
   for (auto& [service, l] : chart.leads())
-    leads[service] = {{"primary", l.primary.value}, {"suspended", l.hold}, {"term", l.term}};
+    if (l.hold) suspended.push_back(service);
+  Json nodes{{"leases", roster_.count(now)}, {"by_zone", zones}, {"behind", behind}};
+  Json databases{{"known", chart.instances().size()}, {"leaving", leaving}};
+  Json services{{"led", chart.leads().size()}, {"suspended", suspended}};
+  if (whole) {
+    for (auto& [name, e] : roster_.nodes())
+      nodes["all"][name] = {{"zone", e.zone}, {"acknowledged", e.acked}, {"lease_ms", e.until - now}};
+    for (auto& [id, i] : chart.instances())
+      databases["all"].push_back({{"id", id.value},
+                                  {"service", i.service},
+                                  {"zone", i.zone},
+                                  {"address", i.address.text()},
+                                  {"draining", i.draining},
+                                  {"primary", i.primary}});
+    for (auto& [service, l] : chart.leads())
+      services["all"][service] = {{"primary", l.primary.value}, {"suspended", l.hold}, {"term", l.term}};
+  }
   Json events = Json::array();
   for (auto& e : events_) events.push_back({{"ago_ms", now - e.at}, {"what", e.sentence}});
   Json revision;
   if (chart.fed()) revision = chart.config().revision;
   return {
       {"core", settings_.node_name},
+      {"zone", settings_.zone},
       {"name", node_->self()},
       {"view",
        {{"number", node_->view().number},
         {"chain", members},
         {"voters", node_->view().voters},
-        {"catching_up", behind}}},
+        {"catching_up", catching_up}}},
       {"seated", node_->seated(now)},
       {"disk", node_->sick() ? "refuses writes" : "well"},
       {"change", {{"stored", node_->ledger().stored()}, {"committed", node_->committed()}}},
@@ -581,7 +596,7 @@
       {"duty",
        {{"holder", node_->view().head()}, {"token", node_->view().headed}, {"held_here", node_->leads(now)}}},
       {"nodes", nodes},
-      {"services", leads},
+      {"services", services},
       {"trouble", {{"databases", lookout_.databases(now)}, {"routes", lookout_.routes(now)}}},
       {"events", events},
       {"databases", databases}};
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -76,7 +76,7 @@
   void on_beat(const std::string& id, const HttpRequest& r, HttpDone done);
   void on_config(const HttpRequest& r, HttpDone done);
   std::string beat_answer(const Instance& i) const;
-  Json status() const;
+  Json status(bool whole) const;  // whole: every node, database and service by name
 
   void tick();
   bool may_grant() const;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -47,7 +47,7 @@
 constexpr std::int64_t kCoreSearchMs = 700;  // ms; a tender leaves a core that is silent this long
 constexpr std::int64_t kCoreAnswerMs =
     200;  // ms; a renewal unanswered this long: other cores are asked while the lease still runs
-constexpr std::int64_t kCoreAskStepMs = 100;  // ms; many round trips: then the next core is asked as well
+constexpr std::int64_t kCoreAskStepMs = 50;  // ms; many round trips: then the next core is asked as well
 constexpr std::int64_t kCoreDialMs =
     250;  // ms; a core that just starts drops the opening packet: dial anew, don't wait for seconds
 constexpr std::int64_t kReconnectMs = 100;  // ms; pause between tries to reach a core or tender
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -138,26 +138,19 @@
   return true;
 }
 
+// A list, not an object: a node that starts is told of every database over a thin link.
 Json Instance::json() const {
-  return {{"s", service},  {"a", address.text()}, {"z", zone}, {"c", capacity},
-          {"d", draining}, {"p", primary},        {"n", calls}};
+  return Json::array({service, address.text(), zone, capacity, int(draining), int(primary), calls});
 }
 
 std::optional<Instance> Instance::from(const InstanceId& id, const std::string& text) {
   Json j = Json::parse(text, nullptr, false);
-  if (!j.is_object()) return std::nullopt;
-  Instance i;
-  auto address = Endpoint::parse(j.value("a", ""));
+  if (!j.is_array() || j.size() != 7) return std::nullopt;
+  for (std::size_t n = 0; n < 7; ++n)
+    if (n < 3 ? !j[n].is_string() : !j[n].is_number_integer()) return std::nullopt;
+  auto address = Endpoint::parse(j[1].get<std::string>());
   if (!address) return std::nullopt;
-  i.id = id;
-  i.address = *address;
-  i.service = j.value("s", "");
-  i.zone = j.value("z", "");
-  i.capacity = j.value("c", 1);
-  i.draining = j.value("d", false);
-  i.primary = j.value("p", false);
-  i.calls = j.value("n", std::uint64_t(0));
-  return i;
+  return Instance{id, j[0], j[2], *address, j[3], j[4] != 0, j[5] != 0, j[6]};
 }
 
 bool Instance::same_but_calls(const Instance& o) const {
--- a/src/shore/commands.cc
+++ b/src/shore/commands.cc
@@ -35,7 +35,8 @@
   return 1;
 }
 
-int run_status(const std::string& address) {
+// Asks the cores for what they know; whole: every node, database and service by name.
+int show(const std::string& address, bool whole) {
   std::vector<Endpoint> cores;
   if (!address.empty()) {
     auto e = Endpoint::parse(address);
@@ -52,21 +53,31 @@
     }
     cores = settings.value->seeds;
   }
-  Json first, trouble{{"databases", Json::array()}, {"routes", Json::array()}}, events = Json::array();
+  Json first, sides = Json::array(), zones = Json::object(),
+              trouble{{"databases", Json::array()}, {"routes", Json::array()}}, events = Json::array();
   std::set<std::string> asked;
   for (std::size_t i = 0; i < cores.size(); ++i) {
     const Endpoint core = cores[i];
     if (!asked.insert(core.text()).second) continue;
     asio::io_context io;
     HttpReply reply;
-    http_call(io, core, {"GET", "/status", "", {}}, constants::kPlatformTimeoutMs,
+    http_call(io, core, {"GET", whole ? "/status/whole" : "/status", "", {}}, constants::kPlatformTimeoutMs,
               [&reply](HttpReply r) { reply = std::move(r); });
     io.run();
     Json one = Json::parse(reply.body, nullptr, false);
     if (reply.status != 200 || !one.is_object()) {
       std::cerr << "status: no answer from " << core.text() << "\n";
+      sides.push_back({{"core", core.text()}, {"answers", false}});
       continue;
     }
+    // Which side holds the view, and which zones' nodes it reaches.
+    sides.push_back({{"core", one.value("core", core.text())},
+                     {"zone", one.value("zone", "")},
+                     {"answers", true},
+                     {"seated", one.value("seated", false)},
+                     {"view", one["view"]["number"]},
+                     {"nodes", one["nodes"]["by_zone"]}});
+    for (auto& [zone, n] : one["nodes"]["by_zone"].items()) zones[zone] = zones.value(zone, 0) + n.get<int>();
     // Each core knows what the nodes linked to it meet: what they say is put together.
     const std::string name = one.value("core", core.text());
     for (const char* kind : {"databases", "routes"})
@@ -85,12 +96,22 @@
   if (first.is_null()) return 1;
   std::sort(events.begin(), events.end(),
             [](const Json& x, const Json& y) { return x.value("ago_ms", 0) > y.value("ago_ms", 0); });
+  first["cores"] = sides;
+  first["nodes"]["by_zone_all_cores"] = zones;
   first["trouble"] = trouble;
   first["events"] = events;
   std::cout << first.dump(2) << "\n";
   return 0;
 }
 
+int run_status(const std::string& address) {
+  return show(address, false);
+}
+
+int run_muster(const std::string& address) {
+  return show(address, true);
+}
+
 int run_version(const std::string&) {
   std::cout << "pebblespindle " << PEBBLESPINDLE_VERSION << "\n";
   return 0;
@@ -98,6 +119,8 @@
 
 RegisterCommand check_command("check", {"checks a settings or configuration file", "file", run_check});
 RegisterCommand status_command("status", {"prints what a core knows", "address", run_status});
+RegisterCommand muster_command("muster", {"names every node, database and service a core knows", "address",
+                                          run_muster});
 RegisterCommand version_command("version", {"prints the version", "", run_version});
 
 }  // namespace
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -126,7 +126,7 @@
   void ask(const std::string& host) {
     if (asked_cores_.count(host)) return;
     asked_cores_[host].since = loop_.now();
-    LineConn::connect(loop_.io(), {host, settings_.inner_first}, kCoreSearchMs, kMaxLinkBytes,
+    LineConn::connect(loop_.io(), {host, settings_.inner_first}, kCoreDialMs, kMaxLinkBytes,
                       [this, host](LineConn::Ptr conn, const asio::error_code&) {
                         auto a = asked_cores_.find(host);
                         if (!conn || a == asked_cores_.end() || a->second.conn) {
