--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -271,6 +271,8 @@
     } else if (t == "depth") {
       auto p = Position::parse(m.value("p", ""));
       engine_.sounded(m.value("s", ""), m.value("at", Millis(0)) - m.value("age", Millis(0)), p);
+    } else if (t == "avoid") {
+      engine_.avoid({m.value("id", "")});
     } else if (t == "tight") {
       engine_.tight({m.value("id", "")});
     } else if (t == "grant") {
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -59,6 +59,11 @@
 
   // A database has turned connections away somewhere: fewer are kept to it for a while.
   void tight(const InstanceId& id) { pools_[id].tight_until = now_ + constants::kTightMs; }
+  // The nodes of this zone together find that a database fails: reads go to its peers first for a while.
+  void avoid(const InstanceId& id) {
+    auto& until = pools_[id].avoid_until;
+    until = std::max(until, now_ + constants::kAvoidToldMs);
+  }
   // The core's clock, as just heard; `life` names the process whose clock it is.
   void hear_clock(std::uint64_t life, Millis core_time) {
     core_life_ = life;
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -221,7 +221,7 @@
   } else if (t == "tight") {
     InstanceId id{m.value("id", "")};
     tight_[id] = now;
-    pass_tight(id);
+    tell_nodes("tight", id.value);
   } else if (t == "told") {
     if (auto i = Instance::from({m.value("id", "")}, m.value("v", ""))) failover_->told(now, *i);
   } else {
@@ -381,14 +381,15 @@
     return;
   }
   it->second = now;
-  pass_tight(id);
+  tell_nodes("tight", id.value);
   for (auto& [host, p] : peers_) send(host, {{"t", "tight"}, {"id", id.value}});
 }
 
-void Harbourmaster::pass_tight(const InstanceId& id) {
-  const std::string line = Json{{"t", "tight"}, {"id", id.value}}.dump() + "\n";
+// Something passing about a database, to the nodes linked here, or to those of one zone.
+void Harbourmaster::tell_nodes(const char* what, const std::string& id, const std::string& zone) {
+  const std::string line = Json{{"t", what}, {"id", id}}.dump() + "\n";
   for (auto& [t, core] : tenders_)
-    if (!core && t->greeted) t->conn->send(line);
+    if (!core && t->greeted && (zone.empty() || t->zone == zone)) t->conn->send(line);
 }
 
 void Harbourmaster::feed_all() {
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -66,7 +66,7 @@
   void feed_on(Tender& t);
   void feed_all();
   void tighten(const InstanceId& id, Tender* teller);
-  void pass_tight(const InstanceId& id);
+  void tell_nodes(const char* what, const std::string& id, const std::string& zone = {});
   void tell_peers(bool always);
   Json core_list() const;
   bool in_view(const std::string& host) const;
@@ -101,7 +101,8 @@
   std::unique_ptr<HttpServer> control_;
   News news_;
   std::map<InstanceId, Millis> tight_;  // databases that turned connections away, and since when
-  Lookout lookout_{[this](const std::string& s) { note(s); }};
+  Lookout lookout_{[this](const std::string& s) { note(s); },
+                   [this](const std::string& id, const std::string& zone) { tell_nodes("avoid", id, zone); }};
   struct Event {
     Millis at = 0;
     std::string sentence;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -122,7 +122,11 @@
 constexpr double kTroubleLearn = 0.15;        // weight of one request; the last dozen count
 constexpr double kTroubleMost = 0.35;         // share failing of late; beyond it reads go to its peers first
 constexpr std::int64_t kAvoidFirstMs = 1000;  // ms; then it is tried again
-constexpr std::int64_t kAvoidMostMs = 8000;   // ms; the longest pause of one that comes and goes
+constexpr std::size_t kAvoidNodes =
+    3;  // nodes of a zone that each met a failure; reads may go elsewhere on less than what is worth a line
+constexpr std::int64_t kAvoidToldMs =
+    2500;  // ms; until the zone's next window has told whether it fails still
+constexpr std::int64_t kAvoidMostMs = 8000;  // ms; the longest pause of one that comes and goes
 
 // --- a slow primary ---------------------------------------------------------
 constexpr std::int64_t kPaceWindowMs = 500;   // ms; some ten answers a node at ordinary rates
--- a/src/lookout/lookout.cc
+++ b/src/lookout/lookout.cc
@@ -42,7 +42,7 @@
   };
   for (auto& row : d) {
     auto* s = enter(databases_, row[0], {row[1], row[2], 0, 0, row[3], row[4] != 0, 0});
-    judge({row[0], zone}, *s);
+    judge(now, {row[0], zone}, *s);
   }
   for (auto& row : r) enter(routes_, row[0], {row[1], row[3], row[4], row[2], 0, false, 0});
   return true;
@@ -63,8 +63,7 @@
 }
 
 // One line when several nodes of a zone agree: a single one may be at fault itself.
-void Lookout::judge(const Key& key, Sight& s) {
-  if (s.told) return;
+void Lookout::judge(Millis now, const Key& key, Sight& s) {
   Seen all = sum(s);
   int slow = 0, closed = 0;
   for (auto& [node, x] : s.nodes) {
@@ -74,7 +73,13 @@
   // Nodes that met no failure say nothing: of few requests, most must have failed.
   std::int64_t least = all.asked >= kSightSure ? 25 : 75;
   bool fails = s.nodes.size() >= 2 && all.bad >= kSightBad && percent(all.bad, all.asked) >= least;
-  if (!fails && slow < 2 && closed < 2) return;
+  // Each node alone meets too little to know it: what they know together goes back to them.
+  bool thin = s.nodes.size() >= kAvoidNodes && percent(all.bad, all.asked) >= least;
+  if (avoid_ && (fails || thin || closed >= 2) && (s.avoided_at < 0 || now >= s.avoided_at + kSightMs / 2)) {
+    s.avoided_at = now;
+    avoid_(key.first, key.second);
+  }
+  if (s.told || (!fails && slow < 2 && closed < 2)) return;
   s.told = true;
   note_("Database " + key.first + " fails " + std::to_string(percent(all.bad, all.asked)) + "% of " +
         std::to_string(all.asked) + " requests of " + std::to_string(s.nodes.size()) + " nodes of " +
--- a/src/lookout/lookout.h
+++ b/src/lookout/lookout.h
@@ -11,7 +11,10 @@
 
 class Lookout {
  public:
-  explicit Lookout(std::function<void(const std::string&)> note) : note_(std::move(note)) {}
+  // avoid: the nodes of a zone together find that a database fails; said again while they do.
+  using Avoid = std::function<void(const std::string& database, const std::string& zone)>;
+  explicit Lookout(std::function<void(const std::string&)> note, Avoid avoid = {})
+      : note_(std::move(note)), avoid_(std::move(avoid)) {}
 
   // A node's report of what was out of the ordinary in its last window: {"d": [[database, asked, failed, ms,
   // closed off], ...], "r": [[route, asked, refused, failed, late], ...]}. False: figures that cannot be.
@@ -30,11 +33,13 @@
     std::map<std::string, Seen> nodes;
     Millis since = 0;
     bool told = false;
+    Millis avoided_at = -1;
   };
   using Key = std::pair<std::string, std::string>;  // database or route, zone of the nodes
   static Seen sum(const Sight& s);
-  void judge(const Key& key, Sight& s);
+  void judge(Millis now, const Key& key, Sight& s);
   std::function<void(const std::string&)> note_;
+  Avoid avoid_;
   std::map<Key, Sight> databases_, routes_;
 };
 
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -223,7 +223,7 @@
       for (auto& r : whole) rows_.put(r);
       number_ = k;
       if (berth_) berth_->send(Json{{"t", "up"}, {"k", k}, {"r", rows_to_json(whole)}}.dump() + "\n");
-    } else if (t == "grant" || t == "tight" || t == "depth") {
+    } else if (t == "grant" || t == "tight" || t == "avoid" || t == "depth") {
       if (berth_) berth_->send(std::string(line) + "\n");
     }
   }
--- a/tests/engine_small_test.cc
+++ b/tests/engine_small_test.cc
@@ -250,6 +250,25 @@
   }
 }
 
+TEST(Engine, ReadsLeaveADatabaseThatTheZoneFindsFailing) {
+  Quay q;
+  q.feed(false, "db1");
+  q.lease();
+  q.engine.client_open(1);
+  q.say(1, "CONNECT bound a");
+  q.serve();
+  auto read = [&] {
+    q.engine.sounded("s", q.now, Position{1, 2});
+    q.say(1, "QUERY a FETCH k");
+    return q.answer("COMPLETE 7.1");
+  };
+  EXPECT_EQ(read(), 1) << "the replica at home";
+  q.engine.avoid({"db0"});
+  EXPECT_NE(read(), 1);
+  q.pass(constants::kAvoidToldMs);
+  EXPECT_EQ(read(), 1) << "it is tried again";
+}
+
 TEST(Engine, ReadsLeaveADatabaseThatFailsThem) {
   Quay q;
   q.feed();
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -214,6 +214,23 @@
   EXPECT_TRUE(l.databases(9000).empty());
 }
 
+TEST(Lookout, WhatSeveralNodesMetOnceGoesBackToTheirZone) {
+  std::vector<std::string> avoided;
+  Lookout l([](const std::string&) {},
+            [&](const std::string& id, const std::string& zone) { avoided.push_back(id + " " + zone); });
+  auto once = [](int asked) { return Json{{"d", Json::array({Json::array({"i-1", asked, 1, 12, 0})})}}; };
+  l.report(1000, "north", "n1", once(1));
+  l.report(1000, "south", "s1", once(1));
+  l.report(1100, "north", "n2", once(1));
+  EXPECT_TRUE(avoided.empty()) << "two may have met the same bad link";
+  l.report(1200, "north", "n3", once(1));
+  EXPECT_EQ(avoided, std::vector<std::string>{"i-1 north"});
+  l.report(1300, "north", "n4", once(1));
+  EXPECT_EQ(avoided.size(), 1u) << "said once in a while";
+  for (const char* n : {"s2", "s3", "s4"}) l.report(1400, "south", n, once(9));
+  EXPECT_EQ(avoided.size(), 1u) << "one failure of nine requests is met on any day";
+}
+
 TEST(Lookout, DropsFiguresThatCannotBe) {
   Lookout l([](const std::string&) {});
   for (const char* bad :
