--- a/src/berth/engine_sight.cc
+++ b/src/berth/engine_sight.cc
@@ -23,16 +23,19 @@
 }
 
 // Where this node asks a service too seldom to know how far its primary stands, others of its core know:
-// worth a question when a replica at home could serve the read instead of a primary elsewhere, or of none.
+// worth a question when a replica at home could serve the read instead of a primary elsewhere, or any replica
+// instead of a primary that is gone or has more callers than places.
 bool Engine::worth_sounding(const std::string& service, const Choice& primary) const {
   if (core_life_ == 0) return false;
   const Lead* lead = chart_.lead(service);
+  auto p = lead ? pools_.find(lead->primary) : pools_.end();
+  bool any = primary.kind != Choice::Kind::kGo || (p != pools_.end() && now_ < p->second.tight_until);
   bool near = false;
   for (auto* i : chart_.of(service)) {
     if (!usable(*i) || i->draining) continue;
     bool leads = lead && lead->primary == i->id;
     if (leads && i->zone == zone_ && primary.kind == Choice::Kind::kGo) return false;
-    near = near || (!leads && (i->zone == zone_ || primary.kind != Choice::Kind::kGo));
+    near = near || (!leads && (any || i->zone == zone_));
   }
   return near;
 }
--- a/tests/engine_small_test.cc
+++ b/tests/engine_small_test.cc
@@ -15,7 +15,8 @@
     std::vector<std::string> heard;  // statements not yet answered
     bool open = true;
   };
-  explicit Quay(int cap = 16, std::uint64_t lot = 7) : engine(*this, timers, "z0", 7000, lot) {
+  explicit Quay(int cap = 16, std::uint64_t lot = 7, const std::string& zone = "z0")
+      : engine(*this, timers, zone, 7000, lot) {
     engine.set_time(now);
     config = R"({"Revision":1,"Routes":[
       {"Name":"p","Hostname":"prim","RouteType":"primary","TimeoutMs":800,"TargetLatencyMs":100,"TargetService":"s","MaxAttempts":2},
@@ -250,6 +251,22 @@
   }
 }
 
+TEST(Engine, ReadsLeaveAPrimaryThatHasMoreCallersThanPlaces) {
+  for (bool tight : {false, true}) {
+    Quay q(16, 7, "z9");  // no database at home
+    q.feed();
+    q.lease();
+    q.engine.hear_clock(5, 70000);
+    if (tight) q.engine.tight({"db0"});
+    q.engine.client_open(1);
+    q.say(1, "CONNECT bound a");
+    q.say(1, "QUERY a FETCH k");
+    EXPECT_EQ(q.asked_depth.size(), tight ? 1u : 0u);
+    if (tight) q.engine.sounded("s", q.now - 900, Position{1, 1});
+    EXPECT_EQ(q.answer("COMPLETE 7.1") == 1, !tight);
+  }
+}
+
 TEST(Engine, ReadsLeaveADatabaseThatTheZoneFindsFailing) {
   Quay q;
   q.feed(false, "db1");
