--- a/tests/chain_test.cc
+++ b/tests/chain_test.cc
@@ -388,5 +388,37 @@
   EXPECT_EQ(f.at("core2").ledger().find("l")->value, "v");
 }
 
+// What a write that the disk refused would have stored is known to nobody once the disk is well again.
+TEST(Chain, AfterARefusedWriteTheDiskCountsAndNotTheMemory) {
+  Fleet f(4, 1, 1, 0);
+  f.run(3000);
+  auto& core = f.hosts[0];
+  EXPECT_EQ(f.submit(core, "k", "", "kept"), 200);
+  f.cores[core]->disk.full = true;
+  EXPECT_NE(f.submit(core, "k", "kept", "never stored"), 200);
+  f.cores[core]->disk.full = false;
+  f.run(2000);
+  EXPECT_EQ(f.read(core, "k"), "kept");
+}
+
+// A grant for a former view that comes late gives no place in the present one.
+TEST(Chain, ALeaseOfAFormerViewSeatsNobody) {
+  Fleet f(6);
+  f.run(4000);
+  std::string one = f.hosts[0];
+  f.cut_off(one, true);
+  f.run(3000);
+  Node& node = f.at(one);
+  ASSERT_FALSE(node.seated(f.net.now));
+  auto grant = [&](std::uint64_t view) {
+    for (auto& other : f.hosts)
+      if (other != one) node.receive(f.net.now, other, {{"t", "a"}, {"v", view}, {"at", f.net.now}});
+  };
+  grant(node.view().number - 1);
+  EXPECT_FALSE(node.seated(f.net.now));
+  grant(node.view().number);
+  EXPECT_TRUE(node.seated(f.net.now));
+}
+
 }  // namespace
 }  // namespace pebblespindle::test
--- a/tests/failover_test.cc
+++ b/tests/failover_test.cc
@@ -96,7 +96,8 @@
       if (chance(platform_trouble)) return answer(5, 429);
       if (!d.up || d.dark) return answer(5, 409);
       bool silent = chance(platform_trouble);
-      later(300, [this, id] { take_over(id.value); });
+      if (platform_lag > 0) silent = true;
+      later(300 + platform_lag, [this, id] { take_over(id.value); });
       answer(silent ? constants::kPlatformTimeoutMs : 5, silent ? 0 : 200);
     };
     out.submit = [this, g](Json u, std::function<void(chain::Answer)> done) {
@@ -188,6 +189,7 @@
   int generation = 0, promotes = 0;
   std::uint64_t calls = 0;
   double platform_trouble = 0;
+  Millis platform_lag = 0;  // a call takes effect this much later, and is not answered
 };
 
 TEST(Failover, LosesNoAcknowledgedCommit) {
@@ -298,6 +300,23 @@
   EXPECT_EQ(sea.leader(), "db0") << "it leads on: slow is better than not at all";
 }
 
+// A call to the platform that was not answered may take effect at any time: the primary, though it is back,
+// does not lead again, for what it would acknowledge then might be left behind.
+TEST(Failover, WhoeverMayHaveBeenReplacedIsNotLetGoOn) {
+  int promotes = 0;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    Sea sea(seed);
+    sea.platform_lag = 3000;
+    for (int i = 0; i < 500; ++i) sea.step();
+    sea.dbs["db0"].dark = true;
+    for (int i = 0; i < 2500; ++i) sea.step();
+    sea.dbs["db0"].dark = false;
+    for (int i = 0; i < 9000; ++i) sea.step();  // take_over() checks what is promoted
+    promotes += sea.promotes;
+  }
+  EXPECT_GT(promotes, 10);
+}
+
 TEST(Failover, WaitsWhenAReplicaThatMayHoldMoreIsOutOfReach) {
   Sea sea(6);
   sea.dbs["db1"].dark = true;
