A connection that was closed when it was given back is not looked at any more

Cause, found by the sanitizers (Engine.WhereConnectionsAreScarceEachNodeKeepsOneUntilOneIsTurnedAway): after the end of a statement the engine read the service of a connection that give_back() may have closed, as it does where connections are scarce. What it read was not used in that case; a long service name would have been read from freed memory.

--- a/src/berth/engine_exec.cc
+++ b/src/berth/engine_exec.cc
@@ -293,19 +293,17 @@
     c.stage = Server::Stage::kIdle;
   }
   answer(*s, std::move(body));
-  if (state != 'T') {
-    if (c.in_tx)
-      next_step(c);
-    else
-      give_back(c);
-  }
-  if (Session* x = find(sid)) {
+  if (state == 'T') {
     const Lead* l = chart_.lead(c.service);
-    if (state == 'T' && l && l->hold && suspended_since_.count(c.service) &&
-        suspended_since_[c.service] < 0 && l->primary == c.instance)
-      lose_transaction(*x);
-    pump(*x);
+    if (l && l->hold && suspended_since_.count(c.service) && suspended_since_[c.service] < 0 &&
+        l->primary == c.instance)
+      lose_transaction(*s);
+  } else if (c.in_tx) {
+    next_step(c);
+  } else {
+    give_back(c);  // it may be closed: it is not looked at any more
   }
+  if (Session* x = find(sid)) pump(*x);
 }
 
 bool Engine::may_retry(const Session& s) const {
