A whole state replaces what a node holds; a configuration once taken stays known as taken

Cause: a tender that starts anew is fed from nothing, and a whole state did not say so: a proxy that had lived on kept dropped routes and databases that had left. A change that was taken and replaced was answered 412 to an operator who had not heard. A late piece stopped a node's feed for good. A node without news denied routes it had not heard of.

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -264,7 +264,7 @@
       auto rows = rows_from_json(m["r"]);
       if (!rows) return;
       bool was = engine_.ready();
-      engine_.feed(m.value("k", std::uint64_t(0)), *rows.value);
+      engine_.feed(m.value("k", std::uint64_t(0)), std::move(*rows.value), m.value("whole", false));
       if (!was && engine_.ready())
         log_.say("Ready with configuration " + std::to_string(engine_.chart().config().revision) + ".");
       renew();
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -60,7 +60,8 @@
   timers_.cancel(s->rest);
   std::erase(unfed_, id);  // once: a second greeting would be an answer to nothing
   if (!chart_.route(s->host)) {
-    port_.to_client(id, wire::error("NODATABASE", s->host));
+    auto [code, text] = no_route(s->host);
+    port_.to_client(id, wire::error(code, text));
     return drop(id);
   }
   s->greeted = true;
@@ -69,6 +70,13 @@
   pump(*s);
 }
 
+// Whether a route is missing or has not been heard of: without a lease, or behind the change it names, this
+// node cannot tell, and says only that nothing was done.
+std::pair<std::string, std::string> Engine::no_route(const std::string& host) const {
+  if (leased()) return {"NODATABASE", host};
+  return {"THROTTLED", "retry-after-ms=" + std::to_string(kNodeRenewMs) + " this node has no news"};
+}
+
 void Engine::client_too_long(SessionId id) {
   if (!find(id)) return;
   port_.to_client(id, wire::error("TOOLARGE", "a message holds at most 1 MiB"));
@@ -146,7 +154,7 @@
     case Verb::kBegin: {
       if (s.state == 'T') return fail(s, "MALFORMED", "a transaction is open");
       s.route = chart_.route(s.host);
-      if (!s.route) return fail(s, "NODATABASE", s.host);
+      if (!s.route) return fail_unrouted(s);
       s.state = 'T';
       s.tx_read_only = st.read_only;
       s.tx_touched = s.tx_wrote = s.tx_lost = false;
@@ -206,6 +214,11 @@
   answer(s, wire::error(code, text));
 }
 
+void Engine::fail_unrouted(Session& s) {
+  auto [code, text] = no_route(s.host);
+  fail(s, code, text);
+}
+
 // The transaction is over here; what is left of it at a database is rolled back.
 void Engine::end_transaction(Session& s, char state) {
   s.state = state;
@@ -240,7 +253,7 @@
   }
   if (s.state == 'I') {
     s.route = chart_.route(s.host);
-    if (!s.route) return fail(s, "NODATABASE", s.host);
+    if (!s.route) return fail_unrouted(s);
     s.tx_touched = s.tx_wrote = false;
   }
   ++routes_seen_[s.route->name].asked;
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -53,7 +53,8 @@
   void server_line(ConnId, std::string_view line);
   void server_down(ConnId, bool refused, bool silent);
 
-  void feed(std::uint64_t number, const std::vector<Row>& rows);
+  // whole: the rows are all there are, and replace what is held.
+  void feed(std::uint64_t number, std::vector<Row> rows, bool whole = false);
   // The lease runs until `until` and holds only for a chart at least at `number`.
   void lease(Millis until, std::uint64_t number, std::size_t members);
 
@@ -195,6 +196,8 @@
   void handle(Session& s, std::string_view line);
   void answer(Session& s, std::string body);  // body, then IDLE in the session's state
   void fail(Session& s, std::string_view code, std::string_view text);
+  void fail_unrouted(Session& s);
+  std::pair<std::string, std::string> no_route(const std::string& host) const;
   void local_statement(Session& s, const wire::Statement& st);
   void begin_work(Session& s, std::string_view id, std::string_view text, const wire::Statement& st);
   void end_work(Session& s);
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -9,7 +9,8 @@
 
 // --- the control state ---------------------------------------------------------
 
-void Engine::feed(std::uint64_t number, const std::vector<Row>& rows) {
+void Engine::feed(std::uint64_t number, std::vector<Row> rows, bool whole) {
+  if (whole) rows = chart_.changes_to(number, std::move(rows));
   auto leads_before = std::map<std::string, Lead>();
   for (auto& [name, spec] : chart_.config().services)
     if (auto* l = chart_.lead(name)) leads_before[name] = *l;
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -264,13 +264,11 @@
   } else if (kind == "hi") {
     t->node = m.value("node", "");
     t->zone = m.value("zone", "");
-    t->sent = m.value("have", std::uint64_t(0));
-    t->greeted = true;
-    t->feeding = nullptr;
+    t->delivery.greet(m.value("have", std::uint64_t(0)));
     feed(*t);
   } else if (kind == "got") {
-    ++t->taken;
-    feed_on(*t);
+    t->delivery.got();
+    feed(*t);
   } else if (kind == "sound") {
     const std::string service = m.value("s", "");
     Json a{{"t", "depth"}, {"s", service}, {"at", m.value("at", Json())}};
@@ -348,26 +346,8 @@
 }
 
 void Harbourmaster::feed(Tender& t) {
-  // Only whole, committed states go out: between two changes of a row there is nothing to send.
-  if (!t.greeted || t.feeding || !node_->settled() || t.sent >= node_->committed()) return;
-  // Most nodes stand at the same number: what one is told, the next is told as well.
-  if (news_.from != t.sent || news_.to != node_->committed() || news_.life != node_->ledger().lives())
-    news_ = {t.sent, node_->committed(), node_->ledger().lives(),
-             std::make_shared<const std::vector<std::string>>(
-                 feed_lines(t.sent, node_->committed(), node_->ledger().since(t.sent)))};
-  t.sent = node_->committed();
-  t.feeding = news_.lines;
-  t.next_piece = t.taken = 0;
-  feed_on(t);
-}
-
-// Bulk goes in pieces, and the next one only as a node takes them: leases are not held up behind it.
-void Harbourmaster::feed_on(Tender& t) {
-  while (t.feeding && t.next_piece < t.feeding->size() && t.next_piece < t.taken + kPiecesAhead)
-    t.conn->send((*t.feeding)[t.next_piece++]);
-  if (!t.feeding || (t.feeding->size() > 1 && t.taken < t.feeding->size())) return;
-  t.feeding = nullptr;
-  feed(t);  // what has changed meanwhile
+  t.delivery.go_on(node_->ledger(), node_->committed(), node_->settled(), news_,
+                   [&t](const std::string& line) { t.conn->send(line); });
 }
 
 // A database has no more connections to give: nodes everywhere keep fewer to it for a while. Told once in
@@ -389,7 +369,7 @@
 void Harbourmaster::tell_nodes(const char* what, const std::string& id, const std::string& zone) {
   const std::string line = Json{{"t", what}, {"id", id}}.dump() + "\n";
   for (auto& [t, core] : tenders_)
-    if (!core && t->greeted && (zone.empty() || t->zone == zone)) t->conn->send(line);
+    if (!core && t->delivery.greeted() && (zone.empty() || t->zone == zone)) t->conn->send(line);
 }
 
 void Harbourmaster::feed_all() {
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -13,6 +13,7 @@
 #include "keel/loop.h"
 #include "ledger/sqlite_disk.h"
 #include "lookout/lookout.h"
+#include "ordinance/delivery.h"
 #include "roster/roster.h"
 #include "roster/soundings.h"
 
@@ -41,18 +42,10 @@
     std::size_t nodes = 0;
     Millis told = -100000;
   };
-  using Pieces = std::shared_ptr<const std::vector<std::string>>;
-  struct News {  // what the last node was fed
-    std::uint64_t from = 0, to = 0, life = 0;
-    Pieces lines;
-  };
   struct Tender {
     LineConn::Ptr conn;
     std::string node, zone;
-    std::uint64_t sent = 0;
-    bool greeted = false;
-    Pieces feeding;  // what it is being fed, a few pieces ahead of what it has taken
-    std::size_t next_piece = 0, taken = 0;
+    Delivery delivery;
   };
   static chain::Verdict judge_update(const Ledger& ledger, const Json& update);
 
@@ -63,7 +56,6 @@
   void on_tender(const std::shared_ptr<Tender>& t, const Json& m);
   void dial(const std::string& host);
   void feed(Tender& t);
-  void feed_on(Tender& t);
   void feed_all();
   void tighten(const InstanceId& id, Tender* teller);
   void tell_nodes(const char* what, const std::string& id, const std::string& zone = {});
@@ -99,7 +91,7 @@
   std::map<std::shared_ptr<Tender>, bool> tenders_;
   std::unique_ptr<Acceptor> inner_;
   std::unique_ptr<HttpServer> control_;
-  News news_;
+  Delivery::News news_;
   std::map<InstanceId, Millis> tight_;  // databases that turned connections away, and since when
   Lookout lookout_{[this](const std::string& s) { note(s); },
                    [this](const std::string& id, const std::string& zone) { tell_nodes("avoid", id, zone); }};
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -30,6 +30,8 @@
 constexpr std::int64_t kGrowWaitMs =
     4000;  // ms; the first configuration waits this long for all voters: inside the operator's patience
 constexpr std::uint64_t kBallotStep = 16;    // ballots; more than there are voters, so that no two share one
+constexpr std::size_t kTakenKept =
+    64;  // configurations taken of late that are known again; offers are repeated for seconds, not minutes
 constexpr std::size_t kEventsKept = 60;      // sentences a core keeps for status: some minutes of trouble
 constexpr std::int64_t kDiskRetryMs = 300;   // ms; pause between tries of a disk that refused a write
 constexpr std::int64_t kDriftMarginMs = 50;  // ms; clock drift and late timers over the longest lease
--- a/src/ordinance/chart.cc
+++ b/src/ordinance/chart.cc
@@ -1,5 +1,7 @@
 #include "ordinance/chart.h"
 
+#include <set>
+
 namespace pebblespindle {
 
 bool Chart::apply(std::uint64_t number, const std::vector<Row>& rows) {
@@ -36,6 +38,19 @@
   return true;
 }
 
+std::vector<Row> Chart::changes_to(std::uint64_t number, std::vector<Row> whole) const {
+  std::set<std::string> named;
+  for (auto& r : whole) named.insert(r.key);
+  auto unless_named = [&](std::string key) {
+    if (!named.count(key)) whole.push_back({std::move(key), {}, number, true});
+  };
+  for (auto& [host, r] : routes_) unless_named(kRoutePrefix + host);
+  for (auto& [name, s] : config_.services) unless_named(kServicePrefix + name);
+  for (auto& [id, i] : instances_) unless_named(instance_key(id));
+  for (auto& [service, l] : leads_) unless_named(lead_key(service));
+  return whole;
+}
+
 bool Chart::follow(const Ledger& ledger) {
   if (ledger.changes() == changes_ && ledger.lives() == lives_) return false;
   if (ledger.lives() != lives_) {  // the ledger was taken anew: its numbers may stand for other rows
--- a/src/ordinance/chart.h
+++ b/src/ordinance/chart.h
@@ -13,6 +13,8 @@
  public:
   // Applies rows up to number; older numbers are ignored. True when something changed.
   bool apply(std::uint64_t number, const std::vector<Row>& rows);
+  // A whole state as the changes that lead to it from here: what it does not name is gone.
+  std::vector<Row> changes_to(std::uint64_t number, std::vector<Row> whole) const;
   // Brings the chart to what a ledger holds. False, and cheap, while the ledger has not changed.
   bool follow(const Ledger& ledger);
 
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -1,5 +1,7 @@
 #include "ordinance/ordinance.h"
 
+#include <algorithm>
+
 #include "keel/constants.h"
 
 namespace pebblespindle {
@@ -7,10 +9,22 @@
 
 using chain::Verdict;
 
+// What tells one configuration from another: its length and a hash (FNV-1a, 64 bits).
+std::string mark_of(const std::string& body) {
+  std::uint64_t h = 14695981039346656037ull;
+  for (unsigned char c : body) h = (h ^ c) * 1099511628211ull;
+  return std::to_string(body.size()) + "." + std::to_string(h);
+}
+
 Verdict judge_config(const Ledger& ledger, const Json& u) {
   const std::string body = u.value("body", "");
   const Row* now = ledger.find(kConfigKey);
   if (now && now->value == body) return {};
+  // One that was taken and replaced since is answered as taken: whoever offers it again has not heard.
+  Json taken = Json::array();
+  if (const Row* t = ledger.find(kTakenKey)) taken = Json::parse(t->value);
+  const std::string mark = mark_of(body);
+  if (std::find(taken.begin(), taken.end(), Json(mark)) != taken.end()) return {};
   auto next = read_configuration(body);
   if (!next) return {400, next.reason, {}};
   Configuration in_place;
@@ -20,7 +34,9 @@
     return {412, "the version in place is " + std::to_string(current), {}};
   if (next.value->revision <= current) return {400, "Revision is not above " + std::to_string(current), {}};
   // Nodes are told what has changed, whatever the size of the whole.
-  Verdict v{200, {}, {{kConfigKey, body, 0, false}}};
+  taken.push_back(mark);
+  if (taken.size() > constants::kTakenKept) taken.erase(taken.begin());
+  Verdict v{200, {}, {{kConfigKey, body, 0, false}, {kTakenKey, taken.dump(), 0, false}}};
   auto parts = configuration_parts(*next.value);
   for (auto& prefix : {kServicePrefix, kRoutePrefix})
     ledger.each(prefix, [&](const Row& r) {
@@ -94,8 +110,8 @@
   std::vector<Json> pieces;
   std::size_t size = constants::kPieceBytes;
   for (auto& r : rows) {
-    // The body as sent is for the cores; who starts from nothing need not hear of what is gone.
-    if (r.key == kConfigKey || (from == 0 && r.gone)) continue;
+    // The body as sent and the list of those taken are for the cores; a whole state does not name what is gone.
+    if (r.key == kConfigKey || r.key == kTakenKey || (from == 0 && r.gone)) continue;
     if (size >= constants::kPieceBytes) pieces.push_back(Json::array()), size = 0;
     Json row = Json::array({r.key, r.number});
     if (!r.gone) row.push_back(r.value);
@@ -107,6 +123,7 @@
   for (std::size_t i = 0; i < pieces.size(); ++i) {
     Json m{{"t", "up"}, {"k", to}, {"r", std::move(pieces[i])}};
     if (pieces.size() > 1) m["left"] = pieces.size() - 1 - i;
+    if (from == 0) m["whole"] = true;  // it replaces what is held, wherever it has passed through
     lines.push_back(m.dump() + "\n");
   }
   return lines;
--- a/src/ordinance/ordinance.h
+++ b/src/ordinance/ordinance.h
@@ -12,7 +12,7 @@
 Json lead_update(const std::string& service, const std::string& expected, const Lead& next);
 
 // What a node that stands at `from` is told so that it stands at `to`, as lines: the rows it needs, in pieces
-// of bounded size that count together, with the last.
+// of bounded size that count together, with the last. From 0 it is a whole state, and says so.
 std::vector<std::string> feed_lines(std::uint64_t from, std::uint64_t to, const std::vector<Row>& rows);
 
 chain::Verdict judge_update(const Ledger& ledger, const Json& update);
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -63,7 +63,8 @@
 
 // A configuration stands in the ledger twice: as it was sent, which cores alone keep, and in parts, of which
 // nodes are told what a change has changed: a head, a row a service and a row a route.
-inline const std::string kConfigKey = "c", kConfigHeadKey = "h", kServicePrefix = "v/", kRoutePrefix = "r/";
+// Beside it stands a list of those taken of late.
+inline const std::string kConfigKey = "c", kTakenKey = "t", kConfigHeadKey = "h", kServicePrefix = "v/", kRoutePrefix = "r/";
 std::map<std::string, std::string> configuration_parts(const Configuration& c);  // values by key
 // Enters a part into a configuration; routes are handed out. False: not a part of one.
 bool enter_part(Configuration& c, const std::string& key, const std::string* value,
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -8,7 +8,7 @@
 #include "keel/loop.h"
 #include "keel/registry.h"
 #include "keel/role.h"
-#include "ledger/ledger.h"
+#include "tender/hold.h"
 
 namespace pebblespindle {
 namespace {
@@ -91,7 +91,7 @@
     }
     if (core_ && !berth_ && now >= next_renew_) {  // without a berth the machine's lease is kept all the same
       next_renew_ = now + kNodeRenewMs;
-      renew(Json{{"t", "renew"}, {"at", now}, {"ack", number_}});
+      renew(Json{{"t", "renew"}, {"at", now}, {"ack", hold_.number()}});
     }
     std::erase_if(asked_cores_, [&](auto& a) {
       if (now - a.second.since < kCoreSearchMs) return false;
@@ -170,7 +170,7 @@
   void take_core(const LineConn::Ptr& conn, const std::string& host) {
     if (core_) core_->close();
     core_ = conn;
-    pieces_.clear();
+    hold_.relinked();
     core_host_ = host;
     core_zone_ = zone_of(host);
     next_core_ = 0;
@@ -181,7 +181,7 @@
       if (a.conn && core_zone_ == settings_.zone) a.conn->close();
     if (core_zone_ == settings_.zone) asked_cores_.clear();
     conn->send(
-        Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", number_}}.dump() +
+        Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", hold_.number()}}.dump() +
         "\n");
     if (!last_renew_.is_null()) renew(last_renew_);
     loop_.rearm();
@@ -206,23 +206,9 @@
       learn_cores(m["l"]);
       core_zone_ = zone_of(core_host_);
     } else if (t == "up") {
-      auto rows = rows_from_json(m["r"]);
-      std::uint64_t k = m.value("k", std::uint64_t(0));
-      if (!rows || k < number_) return;  // never back
-      if (!m.contains("left")) {
-        for (auto& r : *rows.value) rows_.put(r);
-        number_ = k;
-        if (berth_) berth_->send(std::string(line) + "\n");
-        return;
-      }
-      // One of several pieces: they count once the last is here.
-      core_->send("{\"t\":\"got\"}\n");
-      pieces_.insert(pieces_.end(), rows.value->begin(), rows.value->end());
-      if (m["left"] != 0) return;
-      auto whole = std::exchange(pieces_, {});
-      for (auto& r : whole) rows_.put(r);
-      number_ = k;
-      if (berth_) berth_->send(Json{{"t", "up"}, {"k", k}, {"r", rows_to_json(whole)}}.dump() + "\n");
+      auto taken = hold_.take(m, line);
+      if (taken.got) core_->send("{\"t\":\"got\"}\n");
+      if (berth_ && !taken.hand_on.empty()) berth_->send(taken.hand_on);
     } else if (t == "grant" || t == "tight" || t == "avoid" || t == "depth") {
       if (berth_) berth_->send(std::string(line) + "\n");
     }
@@ -243,8 +229,7 @@
                    if (ending_) loop_.stop();
                  },
                  {}});
-    if (number_ > 0)
-      conn->send(Json{{"t", "up"}, {"k", number_}, {"r", rows_to_json(rows_.since(0))}}.dump() + "\n");
+    if (hold_.number() > 0) conn->send(hold_.whole());
   }
 
   void on_berth(std::string_view line) {
@@ -270,9 +255,7 @@
   bool ending_ = false;
   Millis heard_ = 0, asked_ = 0, next_renew_ = 0, try_home_at_ = 0, ask_next_at_ = 0;
   Json last_renew_;
-  Ledger rows_;
-  std::vector<Row> pieces_;  // of a feed under way
-  std::uint64_t number_ = 0;
+  Hold hold_;
 };
 
 int run_tender(const std::string&) {
