PATCH, prefixes, weights and limits in the configuration; every invalid case in one table

One reader for both kinds of deployment. A change of named items is merged and judged at the head against the base it names, in one history with PUT. Fields named twice, routes named twice are refused; a time below a millisecond is no longer rounded down to none.

--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -196,7 +196,7 @@
   body += wire::idle(s.state, "-");
   timers_.cancel(s.rest);
   if (s.state != 'I') {
-    s.rest = timers_.at(now_ + chart_.config().transaction_idle_ms, [this, id = s.id] {
+    s.rest = timers_.at(now_ + chart_.config().limits.transaction_idle_ms, [this, id = s.id] {
       if (Session* x = find(id)) {
         x->rest = 0;
         lose_transaction(*x);
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -429,7 +429,7 @@
     loop_.rearm();
   };
   const std::string kInstances = "/instances/";
-  if (r.path == "/configuration" && r.method == "PUT") return on_config(r, answer);
+  if (r.path == "/configuration" && (r.method == "PUT" || r.method == "PATCH")) return on_config(r, answer);
   if (r.path == "/configuration" && r.method == "GET") {
     return node_->read(loop_.now(), kConfigKey, [answer](std::optional<std::string> body, bool ok) {
       if (!ok) return answer(plain(503, "the chain gives no answer"));
@@ -503,7 +503,8 @@
   } else {
     return done(plain(400, "If-Match is missing"));
   }
-  auto checked = read_configuration(r.body);
+  const bool patch = r.method == "PATCH";  // judged whole by the head, which holds what it builds on
+  auto checked = patch ? Outcome<Configuration>::ok({}) : read_configuration(r.body);
   if (!checked) {
     note("A configuration was refused: " + checked.reason + ".");
     return done(plain(400, checked.reason));
@@ -512,14 +513,14 @@
   // What is acknowledged must bear the losses asked for: the first one waits until the voters are complete.
   if (!node_->ledger().find(kConfigKey) && !node_->full_strength() && loop_.now() < born_ + kGrowWaitMs)
     return done(plain(503, "the core is still growing"));
-  node_->submit(loop_.now(), config_update(base, r.body), [this, done, revision](chain::Answer a) {
-    if (a.status == 200) {
-      note("Configuration " + std::to_string(revision) + " is acknowledged.");
-      return done(plain(200));
-    }
-    note("Configuration " + std::to_string(revision) + " is not acknowledged: " + a.reason + ".");
-    done(plain(a.status == 0 ? 503 : a.status, a.reason));
-  });
+  const std::string what =
+      patch ? "A change of " + std::to_string(base) : "Configuration " + std::to_string(revision);
+  node_->submit(
+      loop_.now(), patch ? patch_update(base, r.body) : config_update(base, r.body),
+      [this, done, what](chain::Answer a) {
+        note(what + (a.status == 200 ? " is acknowledged." : " is not acknowledged: " + a.reason + "."));
+        done(a.status == 200 ? plain(200) : plain(a.status == 0 ? 503 : a.status, a.reason));
+      });
 }
 
 Json Harbourmaster::status(bool whole) const {
--- a/src/ordinance/chart.cc
+++ b/src/ordinance/chart.cc
@@ -9,11 +9,11 @@
   std::uint64_t before = number_;
   number_ = number;
   bool moved = false;
-  auto take_route = [this](const std::string& host, std::optional<Route> route) {
+  auto take_route = [this](const std::string& place, std::optional<Route> route) {
     if (route)
-      routes_[host] = std::make_shared<const Route>(std::move(*route));
+      routes_[place] = std::make_shared<const Route>(std::move(*route));
     else
-      routes_.erase(host);
+      routes_.erase(place);
   };
   for (auto& r : rows) {
     if (r.number <= before) continue;
@@ -44,7 +44,7 @@
   auto unless_named = [&](std::string key) {
     if (!named.count(key)) whole.push_back({std::move(key), {}, number, true});
   };
-  for (auto& [host, r] : routes_) unless_named(kRoutePrefix + host);
+  for (auto& [place, r] : routes_) unless_named(kRoutePrefix + place);
   for (auto& [name, s] : config_.services) unless_named(kServicePrefix + name);
   for (auto& [id, i] : instances_) unless_named(instance_key(id));
   for (auto& [service, l] : leads_) unless_named(lead_key(service));
@@ -67,8 +67,17 @@
 }
 
 std::shared_ptr<const Route> Chart::route(const std::string& host) const {
-  auto it = routes_.find(host);
-  return it == routes_.end() ? nullptr : it->second;
+  return route(host, "/");
+}
+
+std::shared_ptr<const Route> Chart::route(const std::string& host, std::string_view path) const {
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos;) {
+    auto it = routes_.find(host + std::string(path.substr(0, slash + 1)));
+    if (it != routes_.end()) return it->second;
+    if (slash == 0) break;
+    slash = path.rfind('/', slash - 1);
+  }
+  return nullptr;
 }
 
 const Instance* Chart::instance(const InstanceId& id) const {
--- a/src/ordinance/chart.h
+++ b/src/ordinance/chart.h
@@ -22,6 +22,8 @@
   bool fed() const { return config_.revision > 0; }
   const Configuration& config() const { return config_; }
   std::shared_ptr<const Route> route(const std::string& host) const;
+  // The route of that host whose prefix is the longest to begin the path.
+  std::shared_ptr<const Route> route(const std::string& host, std::string_view path) const;
   const std::map<InstanceId, Instance>& instances() const { return instances_; }
   const Instance* instance(const InstanceId& id) const;
   const std::vector<const Instance*>& of(const std::string& service) const;
@@ -32,7 +34,7 @@
   void index();
   std::uint64_t number_ = 0, changes_ = 0, lives_ = 0;
   Configuration config_;
-  std::map<std::string, std::shared_ptr<const Route>> routes_;
+  std::map<std::string, std::shared_ptr<const Route>> routes_;  // by place
   std::map<InstanceId, Instance> instances_;
   std::map<std::string, std::vector<const Instance*>> by_service_;
   std::map<std::string, Lead> leads_;
--- a/src/ordinance/delivery.h
+++ b/src/ordinance/delivery.h
@@ -1,4 +1,5 @@
-// What a core feeds one node: committed, whole states only, in pieces, the next as the node takes them. No I/O.
+// What a core feeds one node: committed, whole states only, in pieces, the next as the node takes them. No
+// I/O.
 #pragma once
 #include <functional>
 #include <memory>
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -16,22 +16,31 @@
   return std::to_string(body.size()) + "." + std::to_string(h);
 }
 
+// PUT brings a whole; PATCH what is to change in the whole that is in place.
 Verdict judge_config(const Ledger& ledger, const Json& u) {
-  const std::string body = u.value("body", "");
+  const std::string sent = u.value("body", "");
+  const bool patch = u.value("op", "") == "patch";
   const Row* now = ledger.find(kConfigKey);
-  if (now && now->value == body) return {};
+  if (!patch && now && now->value == sent) return {};
   // One that was taken and replaced since is answered as taken: whoever offers it again has not heard.
+  const std::uint64_t base = u.value("base", std::uint64_t(0));
   Json taken = Json::array();
   if (const Row* t = ledger.find(kTakenKey)) taken = Json::parse(t->value);
-  const std::string mark = mark_of(body);
+  const std::string mark = patch ? mark_of("patch " + std::to_string(base) + " " + sent) : mark_of(sent);
   if (std::find(taken.begin(), taken.end(), Json(mark)) != taken.end()) return {};
-  auto next = read_configuration(body);
-  if (!next) return {400, next.reason, {}};
   Configuration in_place;
   if (const Row* head = ledger.find(kConfigHeadKey)) enter_part(in_place, head->key, &head->value, {});
   const std::uint64_t current = in_place.revision;
-  if (u.value("base", std::uint64_t(0)) != current)
-    return {412, "the version in place is " + std::to_string(current), {}};
+  std::string body = sent;
+  if (patch) {
+    if (base != current || !now) return {412, "the version in place is " + std::to_string(current), {}};
+    auto whole = patched(now->value, sent);
+    if (!whole) return {400, whole.reason, {}};
+    body = std::move(*whole.value);
+  }
+  auto next = read_configuration(body);
+  if (!next) return {400, next.reason, {}};
+  if (base != current) return {412, "the version in place is " + std::to_string(current), {}};
   if (next.value->revision <= current) return {400, "Revision is not above " + std::to_string(current), {}};
   // Nodes are told what has changed, whatever the size of the whole.
   taken.push_back(mark);
@@ -96,6 +105,9 @@
 Json config_update(std::uint64_t base, const std::string& body) {
   return {{"op", "config"}, {"base", base}, {"body", body}};
 }
+Json patch_update(std::uint64_t base, const std::string& body) {
+  return {{"op", "patch"}, {"base", base}, {"body", body}};
+}
 Json instance_update(const Instance& i) {
   return {{"op", "inst"}, {"id", i.id.value}, {"v", i.json().dump()}};
 }
@@ -110,7 +122,8 @@
   std::vector<Json> pieces;
   std::size_t size = constants::kPieceBytes;
   for (auto& r : rows) {
-    // The body as sent and the list of those taken are for the cores; a whole state does not name what is gone.
+    // The body as sent and the list of those taken are for the cores; a whole state does not name what is
+    // gone.
     if (r.key == kConfigKey || r.key == kTakenKey || (from == 0 && r.gone)) continue;
     if (size >= constants::kPieceBytes) pieces.push_back(Json::array()), size = 0;
     Json row = Json::array({r.key, r.number});
@@ -132,7 +145,7 @@
 Verdict judge_update(const Ledger& ledger, const Json& u) {
   if (!u.is_object()) return {400, "not an update", {}};
   const std::string op = u.value("op", "");
-  if (op == "config") return judge_config(ledger, u);
+  if (op == "config" || op == "patch") return judge_config(ledger, u);
   if (op == "inst") return judge_instance(ledger, u);
   if (op == "leave") return judge_leave(ledger, u);
   if (op == "lead") return judge_lead(ledger, u);
--- a/src/ordinance/ordinance.h
+++ b/src/ordinance/ordinance.h
@@ -6,6 +6,7 @@
 namespace pebblespindle {
 
 Json config_update(std::uint64_t base, const std::string& body);
+Json patch_update(std::uint64_t base, const std::string& body);
 Json instance_update(const Instance& i);
 Json leave_update(const InstanceId& id);
 // Replaces the lead of a service only if it still stands as expected (empty: none yet).
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -1,5 +1,7 @@
 #include "ordinance/records.h"
 
+#include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace pebblespindle {
@@ -13,12 +15,17 @@
       "Revision": {"type": "integer", "minimum": 1},
       "Routes": {"type": "array", "items": {
         "type": "object",
-        "required": ["Name", "Hostname", "RouteType", "TimeoutMs", "TargetService"],
+        "required": ["Name", "Hostname", "RouteType", "TimeoutMs"],
         "properties": {
           "Name": {"type": "string"},
           "Hostname": {"type": "string", "minLength": 1},
           "PathPrefix": {"type": "string"},
-          "RouteType": {"enum": ["primary", "bounded", "read_your_writes"]},
+          "RouteType": {"enum": ["primary", "bounded", "read_your_writes", "idempotent", "non_idempotent"]},
+          "WeightedTargets": {"type": "array", "minItems": 1, "items": {
+            "type": "object",
+            "required": ["TargetService", "Weight"],
+            "properties": {"TargetService": {"type": "string"}, "Weight": {"type": "integer", "minimum": 0,
+              "maximum": 1000000}}}},
           "TimeoutMs": {"type": "number", "minimum": 0},
           "TargetLatencyMs": {"type": "number", "minimum": 0},
           "Priority": {"type": "integer"},
@@ -35,13 +42,33 @@
           "SyncReplicas": {"type": "integer", "minimum": 0}
         }}},
       "Limits": {"type": "object", "properties": {
-        "TransactionIdleMs": {"type": "number", "minimum": 0}
+        "TransactionIdleMs": {"type": "number", "minimum": 0},
+        "HeaderTimeoutMs": {"type": "number", "minimum": 0},
+        "IdleTimeoutMs": {"type": "number", "minimum": 0},
+        "MaxHeaderBytes": {"type": "integer", "minimum": 0},
+        "MaxBodyBytes": {"type": "integer", "minimum": 0}
       }}
     }
   })");
   return schema;
 }
 
+const Schema& patch_schema() {
+  static const Schema schema(R"({
+    "type": "object",
+    "required": ["Revision"],
+    "additionalProperties": true,
+    "properties": {
+      "Revision": {"type": "integer", "minimum": 1},
+      "Upsert": {"type": "object", "properties": {"Limits": {"type": "object"}},
+        "additionalProperties": {"type": "array", "items": {
+          "type": "object", "required": ["Name"], "properties": {"Name": {"type": "string"}}}}},
+      "Remove": {"type": "object", "additionalProperties": {"type": "array", "items": {"type": "string"}}}
+    }
+  })");
+  return schema;
+}
+
 const Schema& beat_schema() {
   static const Schema schema(R"({
     "type": "object",
@@ -59,15 +86,74 @@
   return schema;
 }
 
+// A time of less than a millisecond is still a time: nothing is rounded down to none.
 Millis millis(const Json& o, const char* name, Millis fallback) {
-  return o.contains(name) ? Millis(o[name].get<double>()) : fallback;
+  return o.contains(name) ? Millis(std::ceil(o[name].get<double>())) : fallback;
+}
+
+// What one reader takes for the first of two fields of a name, and another for the last, nobody can rely on.
+Outcome<Json> parse_unambiguous(std::string_view text) {
+  std::vector<std::set<std::string>> names;
+  std::string twice;
+  Json j = Json::parse(
+      text,
+      [&](int, Json::parse_event_t event, Json& value) {
+        if (event == Json::parse_event_t::object_start) names.emplace_back();
+        if (event == Json::parse_event_t::object_end) names.pop_back();
+        if (event == Json::parse_event_t::key && !names.back().insert(value.get<std::string>()).second)
+          twice = value.get<std::string>();
+        return true;
+      },
+      false);
+  if (j.is_discarded()) return Outcome<Json>::fail("not readable as JSON");
+  if (!twice.empty()) return Outcome<Json>::fail("two fields are named " + twice);
+  return Outcome<Json>::ok(std::move(j));
+}
+
+RouteType type_of(const std::string& word) {
+  if (word == "primary") return RouteType::kPrimary;
+  if (word == "bounded") return RouteType::kBounded;
+  if (word == "read_your_writes") return RouteType::kReadYourWrites;
+  return word == "idempotent" ? RouteType::kIdempotent : RouteType::kNonIdempotent;
+}
+
+// Reads one route; empty when it is well, else what is wrong with it.
+std::string read_route(const Json& r, const Configuration& c, Route& route) {
+  route.name = r["Name"];
+  route.hostname = r["Hostname"];
+  route.type = type_of(r["RouteType"]);
+  route.timeout_ms = millis(r, "TimeoutMs", 0);
+  route.target_ms = millis(r, "TargetLatencyMs", 100);
+  route.stale_ms = millis(r, "stale_ms", 0);
+  route.priority = r.value("Priority", 1);
+  route.max_attempts = std::max(1, r.value("MaxAttempts", 1));
+  route.prefix = r.value("PathPrefix", "/");
+  if (route.prefix.empty() || route.prefix.front() != '/') route.prefix.insert(0, "/");
+  if (route.prefix.back() != '/') route.prefix += '/';
+  if (r.contains("TargetService")) {
+    route.service = r["TargetService"];
+    if (!c.services.count(route.service)) return "names the unknown service " + route.service;
+  } else if (!r.contains("WeightedTargets")) {
+    return "names no service";
+  }
+  long sum = 0;
+  if (r.contains("WeightedTargets"))
+    for (auto& t : r["WeightedTargets"]) {
+      route.split.emplace_back(t["TargetService"], t["Weight"]);
+      if (!c.services.count(route.split.back().first))
+        return "names the unknown service " + route.split.back().first;
+      sum += route.split.back().second;
+    }
+  if (!route.split.empty() && sum == 0) return "has weights that sum to 0";
+  if (!(r["TimeoutMs"].get<double>() > 0)) return "has a TimeoutMs of 0";
+  return {};
 }
 
 }  // namespace
 
 Outcome<Configuration> read_configuration(std::string_view text) {
   using Out = Outcome<Configuration>;
-  auto parsed = parse_json(text);
+  auto parsed = parse_unambiguous(text);
   if (!parsed) return Out::fail(parsed.reason);
   const Json& j = *parsed.value;
   if (auto wrong = configuration_schema().check(j); !wrong.empty()) return Out::fail(wrong);
@@ -77,42 +163,74 @@
     ServiceSpec spec{s["Name"], s.value("MaxConnections", 16), s.value("SyncReplicas", 0)};
     if (!c.services.emplace(spec.name, spec).second) return Out::fail("two services are named " + spec.name);
   }
-  std::set<std::pair<std::string, std::string>> places;
+  std::set<std::string> names;
   for (auto& r : j["Routes"]) {
     Route route;
-    route.name = r["Name"];
-    route.hostname = r["Hostname"];
-    route.service = r["TargetService"];
-    const std::string type = r["RouteType"];
-    route.type = type == "primary"   ? RouteType::kPrimary
-                 : type == "bounded" ? RouteType::kBounded
-                                     : RouteType::kReadYourWrites;
-    route.timeout_ms = millis(r, "TimeoutMs", 0);
-    route.target_ms = millis(r, "TargetLatencyMs", 100);
-    route.stale_ms = millis(r, "stale_ms", 0);
-    route.priority = r.value("Priority", 1);
-    route.max_attempts = std::max(1, r.value("MaxAttempts", 1));
-    if (!c.services.count(route.service))
-      return Out::fail("route " + route.name + " names the unknown service " + route.service);
-    if (!(r["TimeoutMs"].get<double>() > 0))
-      return Out::fail("route " + route.name + " has a TimeoutMs of 0");
-    if (!places.emplace(route.hostname, r.value("PathPrefix", "/")).second)
+    if (auto wrong = read_route(r, c, route); !wrong.empty())
+      return Out::fail("route " + route.name + " " + wrong);
+    if (!names.insert(route.name).second) return Out::fail("two routes are named " + route.name);
+    if (!c.routes.emplace(route.place(), route).second)
       return Out::fail("two routes share the place of route " + route.name);
-    c.routes.emplace(route.hostname, route);
   }
-  if (j.contains("Limits")) c.transaction_idle_ms = millis(j["Limits"], "TransactionIdleMs", 3000);
+  if (j.contains("Limits")) {
+    const Json& l = j["Limits"];
+    c.limits.transaction_idle_ms = millis(l, "TransactionIdleMs", c.limits.transaction_idle_ms);
+    c.limits.header_ms = millis(l, "HeaderTimeoutMs", c.limits.header_ms);
+    c.limits.idle_ms = millis(l, "IdleTimeoutMs", c.limits.idle_ms);
+    c.limits.header_bytes = l.value("MaxHeaderBytes", c.limits.header_bytes);
+    c.limits.body_bytes = l.value("MaxBodyBytes", c.limits.body_bytes);
+  }
   return Out::ok(std::move(c));
 }
 
+Outcome<std::string> patched(const std::string& whole, std::string_view patch) {
+  using Out = Outcome<std::string>;
+  auto parsed = parse_unambiguous(patch);
+  if (!parsed) return Out::fail(parsed.reason);
+  if (auto wrong = patch_schema().check(*parsed.value); !wrong.empty()) return Out::fail(wrong);
+  using Ordered = nlohmann::ordered_json;  // the whole keeps the order it was sent in
+  Ordered p = Ordered::parse(patch), w = Ordered::parse(whole);
+  w["Revision"] = p["Revision"];
+  auto named = [](Ordered& list, const std::string& name) {
+    return std::find_if(list.begin(), list.end(), [&](auto& e) { return e.value("Name", "") == name; });
+  };
+  if (p.contains("Remove"))
+    for (auto& [kind, names] : p["Remove"].items())
+      for (auto& name : names)
+        if (w.contains(kind))
+          if (auto it = named(w[kind], name); it != w[kind].end()) w[kind].erase(it);
+  if (p.contains("Upsert"))
+    for (auto& [kind, items] : p["Upsert"].items()) {
+      if (!items.is_array()) {  // the limits, which have no names
+        for (auto& [field, value] : items.items()) w[kind][field] = value;
+        continue;
+      }
+      if (!w.contains(kind)) w[kind] = Ordered::array();
+      for (auto& item : items) {
+        auto it = named(w[kind], item["Name"]);
+        if (it == w[kind].end())
+          w[kind].push_back(item);
+        else
+          *it = item;
+      }
+    }
+  return Out::ok(w.dump());
+}
+
 std::map<std::string, std::string> configuration_parts(const Configuration& c) {
   std::map<std::string, std::string> parts;
-  parts[kConfigHeadKey] = Json::array({c.revision, c.transaction_idle_ms}).dump();
+  const Limits& l = c.limits;
+  parts[kConfigHeadKey] =
+      Json::array({c.revision, l.transaction_idle_ms, l.header_ms, l.idle_ms, l.header_bytes, l.body_bytes})
+          .dump();
   for (auto& [name, s] : c.services)
     parts[kServicePrefix + name] = Json::array({s.max_connections, s.sync_replicas}).dump();
-  for (auto& [host, r] : c.routes)
-    parts[kRoutePrefix + host] = Json::array({r.service, int(r.type), r.timeout_ms, r.target_ms, r.stale_ms,
-                                              r.priority, r.max_attempts, r.name})
-                                     .dump();
+  for (auto& [place, r] : c.routes) {
+    Json j = Json::array(
+        {r.service, int(r.type), r.timeout_ms, r.target_ms, r.stale_ms, r.priority, r.max_attempts, r.name});
+    if (!r.split.empty()) j.push_back(r.split);
+    parts[kRoutePrefix + place] = j.dump();
+  }
   return parts;
 }
 
@@ -128,12 +246,24 @@
     else
       c.services.erase(name);
   } else if (!is_route) {
-    if (value) c.revision = j.at(0), c.transaction_idle_ms = j.at(1);
+    if (!value) return true;
+    c.revision = j.at(0);
+    c.limits.transaction_idle_ms = j.at(1);
+    if (j.size() < 6) return true;  // written before there were more
+    c.limits = {j.at(1), j.at(2), j.at(3), j.at(4), j.at(5)};
   } else if (value) {
-    route(name, Route{j.at(7), name, j.at(0), RouteType(j.at(1).get<int>()), j.at(2), j.at(3), j.at(4),
-                      j.at(5), j.at(6)});
+    auto slash = std::min(name.find('/'), name.size());
+    Route r{j.at(7), name.substr(0, slash),
+            j.at(0), RouteType(j.at(1).get<int>()),
+            j.at(2), j.at(3),
+            j.at(4), j.at(5),
+            j.at(6), slash < name.size() ? name.substr(slash) : "/",
+            {}};
+    if (j.size() > 8) r.split = j.at(8).get<decltype(r.split)>();
+    std::string place = r.place();
+    route(place, std::move(r));
   } else {
-    route(name, std::nullopt);
+    route(name.find('/') == std::string::npos ? name + "/" : name, std::nullopt);
   }
   return true;
 }
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -11,13 +11,16 @@
 
 namespace pebblespindle {
 
-enum class RouteType { kPrimary, kBounded, kReadYourWrites };
+enum class RouteType { kPrimary, kBounded, kReadYourWrites, kIdempotent, kNonIdempotent };
 
 struct Route {
   std::string name, hostname, service;
   RouteType type = RouteType::kPrimary;
   Millis timeout_ms = 1000, target_ms = 100, stale_ms = 0;
   int priority = 1, max_attempts = 2;
+  std::string prefix = "/";                        // starts and ends with a slash
+  std::vector<std::pair<std::string, int>> split;  // services with their weights; empty: `service` alone
+  std::string place() const { return hostname + prefix; }
 };
 
 struct ServiceSpec {
@@ -26,15 +29,23 @@
   int sync_replicas = 0;
 };
 
+// What a client may send, and how long it may take or rest.
+struct Limits {
+  Millis transaction_idle_ms = 3000, header_ms = 3000, idle_ms = 15000;
+  std::size_t header_bytes = 16384, body_bytes = 1 << 20;
+};
+
 struct Configuration {
   std::uint64_t revision = 0;
-  std::map<std::string, Route> routes;  // by host name; a chart keeps its own
+  std::map<std::string, Route> routes;  // by place; a chart keeps its own
   std::map<std::string, ServiceSpec> services;
-  Millis transaction_idle_ms = 3000;
+  Limits limits;
 };
 
 // Reads and checks a configuration as the operator sends it.
 Outcome<Configuration> read_configuration(std::string_view text);
+// The whole that a change of named items makes of a whole.
+Outcome<std::string> patched(const std::string& whole, std::string_view patch);
 
 struct Instance {
   InstanceId id;
@@ -64,11 +75,12 @@
 // A configuration stands in the ledger twice: as it was sent, which cores alone keep, and in parts, of which
 // nodes are told what a change has changed: a head, a row a service and a row a route.
 // Beside it stands a list of those taken of late.
-inline const std::string kConfigKey = "c", kTakenKey = "t", kConfigHeadKey = "h", kServicePrefix = "v/", kRoutePrefix = "r/";
+inline const std::string kConfigKey = "c", kTakenKey = "t", kConfigHeadKey = "h", kServicePrefix = "v/",
+                         kRoutePrefix = "r/";
 std::map<std::string, std::string> configuration_parts(const Configuration& c);  // values by key
 // Enters a part into a configuration; routes are handed out. False: not a part of one.
 bool enter_part(Configuration& c, const std::string& key, const std::string* value,
-                const std::function<void(const std::string& host, std::optional<Route>)>& route);
+                const std::function<void(const std::string& place, std::optional<Route>)>& route);
 inline std::string instance_key(const InstanceId& id) {
   return "i/" + id.value;
 }
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -181,7 +181,8 @@
       if (a.conn && core_zone_ == settings_.zone) a.conn->close();
     if (core_zone_ == settings_.zone) asked_cores_.clear();
     conn->send(
-        Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", hold_.number()}}.dump() +
+        Json{{"t", "hi"}, {"node", settings_.node_name}, {"zone", settings_.zone}, {"have", hold_.number()}}
+            .dump() +
         "\n");
     if (!last_renew_.is_null()) renew(last_renew_);
     loop_.rearm();
--- a/tests/engine_small_test.cc
+++ b/tests/engine_small_test.cc
@@ -284,5 +284,23 @@
   EXPECT_GE(sights["d"].size(), 1u);
 }
 
+// Behind the change that its lease names, or without a lease, a node cannot tell a route that is missing from
+// one it has not heard of.
+TEST(Engine, ARouteNotHeardOfIsNotDenied) {
+  Quay q;
+  q.feed();
+  q.lease();
+  auto ask = [&](SessionId id) {
+    q.engine.client_open(id);
+    q.say(id, "CONNECT elsewhere u1");
+    return q.told[id];
+  };
+  EXPECT_NE(ask(1).find("NODATABASE"), std::string::npos);
+  q.engine.lease(q.now + 100000, q.number + 1, 1);
+  EXPECT_NE(ask(2).find("THROTTLED"), std::string::npos);
+  q.feed();
+  EXPECT_NE(ask(3).find("NODATABASE"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace pebblespindle::test
--- a/tests/units_test.cc
+++ b/tests/units_test.cc
@@ -6,6 +6,7 @@
 #include "berth/pace.h"
 #include "ledger/sqlite_disk.h"
 #include "lookout/lookout.h"
+#include "ordinance/chart.h"
 #include "ordinance/ordinance.h"
 #include "power_vfs.h"
 #include "roster/roster.h"
@@ -108,14 +109,85 @@
   return text.replace(text.find(from), from.size(), to);
 }
 
-TEST(Configuration, WhatIsInvalidIsRefused) {
-  EXPECT_TRUE(read_configuration(kConfig)) << read_configuration(kConfig).reason;
-  EXPECT_FALSE(read_configuration(kConfig.substr(0, kConfig.size() - 9)));
-  EXPECT_FALSE(read_configuration(changed(kConfig, "\"TargetService\":\"s\"", "\"TargetService\":\"t\"")));
-  EXPECT_FALSE(read_configuration(changed(kConfig, "1000", "0")));
-  std::string twice = changed(kConfig, "}],\"Services\"", R"(},{"Name":"q","Hostname":"h","PathPrefix":"/",
-    "RouteType":"primary","TimeoutMs":10,"TargetService":"s"}],"Services")");
-  EXPECT_FALSE(read_configuration(twice));
+const std::string kMeshConfig =
+    R"({"Revision":3,"Routes":[
+  {"Name":"a","Hostname":"h.example","PathPrefix":"/x/","RouteType":"idempotent","TimeoutMs":1000,"TargetService":"s"},
+  {"Name":"b","Hostname":"h.example","PathPrefix":"/x/y/","RouteType":"non_idempotent","TimeoutMs":700,
+   "WeightedTargets":[{"TargetService":"s","Weight":90},{"TargetService":"t","Weight":10}]}],
+  "Services":[{"Name":"s"},{"Name":"t"}],"Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":15000}})";
+
+// Each case of the page, of both kinds of deployment; the first field says where the change is made.
+TEST(Configuration, EveryInvalidCaseIsRefused) {
+  ASSERT_TRUE(read_configuration(kConfig)) << read_configuration(kConfig).reason;
+  ASSERT_TRUE(read_configuration(kMeshConfig)) << read_configuration(kMeshConfig).reason;
+  struct Case {
+    const std::string& good;
+    const char *from, *to;
+  };
+  for (auto& c : std::initializer_list<Case>{
+           {kConfig, R"("Services":[{"Name":"s"}]})", R"("Services":[{"Na)"},  // cut short
+           {kConfig, R"("TargetService":"s")", R"("TargetService":"t")"},
+           {kConfig, R"("TargetService":"s")", R"("MaxAttempts":1)"},  // no service at all
+           {kConfig, "1000", "0"},
+           {kConfig, "1000", "-5"},
+           {kConfig, "1000", R"("1000")"},
+           {kConfig, R"("Revision":3)", R"("Revision":0)"},
+           {kConfig, R"("Revision":3)", R"("Revision":3.5)"},
+           {kConfig, R"("Revision":3)", R"("Revision":"3")"},
+           {kConfig, R"("Revision":3)", R"("Revision":3,"Revision":4)"},
+           {kConfig, R"("Revision":3,)", ""},
+           {kConfig, R"("RouteType":"primary")", R"("RouteType":"other")"},
+           {kConfig, R"([{"Name":"s"}])", R"([{"Name":"s"},{"Name":"s"}])"},
+           {kConfig, R"([{"Name":"s"}])", R"({"Name":"s"})"},
+           {kMeshConfig, "/x/y/", "/x/"},      // the same place
+           {kMeshConfig, R"("b")", R"("a")"},  // the same name
+           {kMeshConfig, R"("t","W)", R"("u","W)"},
+           {kMeshConfig, "90", "-1"},
+           {kMeshConfig, "Weight\":90},{\"TargetService\":\"t\",\"Weight\":10", "Weight\":0"},  // sum 0
+           {kMeshConfig, "15000", R"("15 s")"}})
+    EXPECT_FALSE(read_configuration(changed(c.good, c.from, c.to))) << c.from << " -> " << c.to;
+  EXPECT_EQ(read_configuration(changed(kConfig, "1000", "0.4")).value->routes.begin()->second.timeout_ms, 1);
+}
+
+// PATCH names items; what it leaves out stays. Judged against the base it names, in one history with PUT.
+TEST(Configuration, AChangeOfNamedItemsIsMergedAndJudgedAsAWhole) {
+  Ledger ledger;
+  auto put = [&](const Json& u) {
+    auto v = judge_update(ledger, u);
+    std::uint64_t n = ledger.stored() + 1;
+    for (auto& r : v.rows) r.number = n, ledger.put(r);
+    return v.status;
+  };
+  const std::string first = R"({"Revision":5,"Upsert":{"Routes":[{"Name":"c","Hostname":"h.example",
+    "PathPrefix":"/z/","RouteType":"idempotent","TimeoutMs":10,"TargetService":"t"}]},"Remove":{"Routes":["a"]}})";
+  EXPECT_EQ(put(patch_update(0, first)), 412) << "there is nothing yet";
+  EXPECT_EQ(put(config_update(0, kMeshConfig)), 200);
+  EXPECT_EQ(put(patch_update(3, first)), 200);
+  EXPECT_EQ(put(patch_update(3, first)), 200) << "offered again: taken";
+  Chart chart;
+  chart.follow(ledger);
+  EXPECT_EQ(chart.config().revision, 5u);
+  EXPECT_FALSE(chart.route("h.example", "/x/q"));
+  EXPECT_EQ(chart.route("h.example", "/x/y/q/r")->name, "b");
+  EXPECT_EQ(chart.route("h.example", "/x/y/q/r")->split.size(), 2u);
+  EXPECT_EQ(chart.route("h.example", "/z/q")->service, "t");
+  EXPECT_FALSE(chart.route("h.example", "/zz/q"));
+  EXPECT_FALSE(chart.route("other.example", "/z/q"));
+  for (const char* bad :
+       {R"({"Revision":5})",                                                     // not above
+        R"({"Revision":9,"Upsert":{"Routes":[{"Hostname")",                      // cut short
+        R"({"Revision":9,"Remove":{"Services":["t"]}})",                         // a route of it is left
+        R"({"Revision":9,"Upsert":{"Routes":[{"Name":"c","Hostname":"h.example","PathPrefix":"/x/y/",
+             "RouteType":"idempotent","TimeoutMs":10,"TargetService":"t"}]}})",  // the same place
+        R"({"Revision":9,"Upsert":{"Routes":[{"Hostname":"x"}]}})",              // no name
+        R"({"Revision":9,"Remove":["c"]})"})
+    EXPECT_EQ(put(patch_update(5, bad)), 400) << bad;
+  EXPECT_EQ(put(patch_update(3, R"({"Revision":9})")), 412);
+  EXPECT_EQ(put(patch_update(5, R"({"Revision":9,"Upsert":{"Limits":{"IdleTimeoutMs":700}}})")), 200);
+  chart.follow(ledger);
+  EXPECT_EQ(chart.config().limits.idle_ms, 700);
+  EXPECT_EQ(chart.config().limits.header_bytes, 16384u);
+  EXPECT_EQ(Json::parse(ledger.find(kConfigKey)->value)["Routes"].size(), 2u);
 }
 
 TEST(Configuration, IsTakenByCompareAndSet) {
