--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -307,6 +307,8 @@
   } else if (kind == "sight") {
     if (!lookout_.report(now, t->zone, t->node, m))
       log_.say("A report of " + t->node + " has figures that cannot be; it is dropped.");
+  } else if (kind == "beat" || kind == "leave") {
+    on_relayed_beat(t, m);
   } else if (kind == "bye") {
     roster_.left(t->node);
     tell_peers(false);
@@ -315,6 +317,22 @@
   }
 }
 
+// A database that speaks to the proxy on its own machine: its word comes with the tender.
+void Harbourmaster::on_relayed_beat(const std::shared_ptr<Tender>& t, const Json& m) {
+  const std::string id = m.value("id", ""), kind = m.value("t", "");
+  auto done = [this, t, id, kind, calls = m.value("calls", std::uint64_t(0))](chain::Answer a) {
+    if (a.status == 200 && kind == "leave") note("Database " + id + " has left.");
+    t->conn->send(
+        Json{{"t", "beaten"}, {"id", id}, {"calls", calls}, {"s", a.status == 0 ? 503 : a.status}}.dump() +
+        "\n");
+  };
+  if (!may_grant()) return done({503, "out of the view"});
+  if (kind == "leave") return node_->submit(loop_.now(), leave_update({id}), done);
+  auto i = Instance::from({id}, m.value("v", ""));
+  if (!i) return done({400, "not an instance"});
+  node_->submit(loop_.now(), instance_update(*i), done);
+}
+
 // Positions of primaries that a node met, stamped by this core's clock as the node knows it.
 void Harbourmaster::on_soundings(const Tender& t, const Json& met) {
   if (met.value("life", std::uint64_t(0)) != life_) return;  // the clock of another core, or of a former life
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -75,6 +75,7 @@
   std::size_t members() const;  // nodes with a live lease, here and at the other cores
   bool all_acknowledged(std::uint64_t number) const;
   void on_suspect(const Json& report);
+  void on_relayed_beat(const std::shared_ptr<Tender>& t, const Json& m);
   void on_soundings(const Tender& t, const Json& met);
 
   Log log_{"harbourmaster"};
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -29,7 +29,7 @@
     950;  // ms; ends as a silent core is suspected, so that the wait for its end costs nothing
 constexpr std::int64_t kGrowWaitMs =
     4000;  // ms; the first configuration waits this long for all voters: inside the operator's patience
-constexpr std::uint64_t kBallotStep = 16;    // ballots; more than there are voters, so that no two share one
+constexpr std::uint64_t kBallotStep = 16;  // ballots; more than there are voters, so that no two share one
 constexpr std::size_t kTakenKept =
     64;  // configurations taken of late that are known again; offers are repeated for seconds, not minutes
 constexpr std::size_t kEventsKept = 60;      // sentences a core keeps for status: some minutes of trouble
@@ -145,4 +145,41 @@
 constexpr double kLatencyLearn = 0.1;             // weight of one answer
 constexpr std::int64_t kLatencyForgetMs = 2000;   // ms; a database not asked for this long is tried again
 
+// --- lighter ----------------------------------------------------------------
+constexpr std::size_t kMaxFrameBytes = 16 << 20;  // bytes; a request or answer between two lighters, whole
+constexpr std::size_t kMaxCallBytes = 8 << 20;  // bytes; a body held whole: a few fit into a sidecar's memory
+constexpr double kBudgetShare =
+    0.75;  // of the fleet's budget: the rest is for windows that slide unlike ours
+constexpr std::int64_t kBudgetSlotMs = 100;   // ms; a hundredth of a window: its edge is sharp enough
+constexpr std::int64_t kLighterDialMs = 400;  // ms; many round trips; then another database is tried
+constexpr std::int64_t kLighterSilentMs =
+    1500;                                   // ms; unacknowledged bytes on a link between lighters: it is dead
+constexpr std::int64_t kAwayFirstMs = 100;  // ms; a lighter that could not be reached is left alone this long
+constexpr std::int64_t kAwayMostMs = 1600;  // ms; at most: one try of one request
+constexpr std::int64_t kBusyMs = 60;    // ms; word of a full database counts this long: a third of its work
+constexpr double kLoadHalfMs = 300.0;   // ms; half of what was told of a load has passed after this
+constexpr double kLoadUsual = 0.45;     // of the slots; what a database is thought to run without word
+constexpr double kAwayZoneCost = 0.35;  // of the slots; a database in another zone is chosen beyond this
+constexpr int kBusyTries = 4;           // full databases met before a request waits at one of them
+constexpr std::size_t kLooked = 4;      // databases compared in a zone; more would send all to the same
+constexpr double kIllCost = 6.0;        // of the slots; what a database that always fails costs more
+constexpr double kWaitShare = 0.5;      // of the aim; a request that has not begun to run by then is refused
+constexpr std::int64_t kHedgeLeastMs = 40;  // ms; no second database is asked sooner
+constexpr double kHedgeSpread = 4.0;        // mean deviations over the mean answer before one is missed
+constexpr double kHedgeAimShare = 0.6;  // of the aim; before any answer is known, one is missed after this
+constexpr double kAnswerLearn = 0.05;   // weight of one answer in mean and deviation
+constexpr std::int64_t kDeadlineWayMs = 4;  // ms; taken off for the way back from the database
+constexpr double kIllLearn = 0.1;           // weight of one result; the last twenty count
+constexpr std::int64_t kDownTrialMs = 250;  // ms; a database that is down is tried again
+constexpr int kDownSilent = 3;              // requests in a row without an answer: it is down
+constexpr std::int64_t kAppConnectMs =
+    500;                            // ms; on this machine; the database counts this as part of its slots
+constexpr double kIdleShare = 0.7;  // of the idle time at which a connection was found dead: others are used
+                                    // up to this
+constexpr std::int64_t kIdleUnknownMs =
+    20000;                                 // ms; a connection is kept unused before the database has told
+constexpr std::int64_t kIdleLeastMs = 50;  // ms; a younger one is trusted whatever was met
+constexpr std::int64_t kAgainMs = 80;  // ms; a refused client comes back after about half a request's work
+constexpr std::int64_t kBeatAnswerMs = 900;  // ms; callers count a second of silence as a failure
+
 }  // namespace pebblespindle::constants
--- a/src/keel/http.cc
+++ b/src/keel/http.cc
@@ -1,10 +1,9 @@
 #include "keel/http.h"
 
-#include <http_parser.h>
-
 #include <algorithm>
 
 #include "keel/constants.h"
+#include "keel/http_reader.h"
 
 namespace pebblespindle {
 namespace {
@@ -16,68 +15,11 @@
   return s;
 }
 
-// Collects one message after the other out of a byte stream.
-struct Collector {
-  explicit Collector(http_parser_type type) {
-    http_parser_init(&parser, type);
-    parser.data = this;
-    http_parser_settings_init(&settings);
-    settings.on_message_begin = [](http_parser* p) {
-      auto& c = self(p);
-      c.message = {};
-      c.field.clear();
-      c.in_value = false;
-      return 0;
-    };
-    settings.on_url = [](http_parser* p, const char* at, size_t n) {
-      return self(p).grow(self(p).message.path, at, n, constants::kMaxHttpHeaderBytes);
-    };
-    settings.on_header_field = [](http_parser* p, const char* at, size_t n) {
-      auto& c = self(p);
-      if (c.in_value) c.field.clear();
-      c.in_value = false;
-      return c.grow(c.field, at, n, constants::kMaxHttpHeaderBytes);
-    };
-    settings.on_header_value = [](http_parser* p, const char* at, size_t n) {
-      auto& c = self(p);
-      c.in_value = true;
-      return c.grow(c.message.headers[lower(c.field)], at, n, constants::kMaxHttpHeaderBytes);
-    };
-    settings.on_body = [](http_parser* p, const char* at, size_t n) {
-      return self(p).grow(self(p).message.body, at, n, constants::kMaxHttpBodyBytes);
-    };
-    settings.on_message_complete = [](http_parser* p) {
-      auto& c = self(p);
-      c.message.method = http_method_str(http_method(p->method));
-      c.complete = true;
-      http_parser_pause(p, 1);
-      return 0;
-    };
-  }
-  static Collector& self(http_parser* p) { return *static_cast<Collector*>(p->data); }
-  int grow(std::string& s, const char* at, size_t n, size_t bound) {
-    if (s.size() + n > bound) {
-      too_large = true;
-      return 1;
-    }
-    s.append(at, n);
-    return 0;
-  }
-  // Returns the bytes taken, or -1 when they are not HTTP.
-  std::ptrdiff_t feed(const char* at, std::size_t n) {
-    std::size_t took = http_parser_execute(&parser, &settings, at, n);
-    if (complete) {
-      http_parser_pause(&parser, 0);
-      return std::ptrdiff_t(took);
-    }
-    return HTTP_PARSER_ERRNO(&parser) == HPE_OK ? std::ptrdiff_t(took) : -1;
-  }
-  http_parser parser;
-  http_parser_settings settings;
-  HttpRequest message;
-  std::string field;
-  bool in_value = false, complete = false, too_large = false;
-};
+std::map<std::string, std::string> by_name(const HttpFields& fields) {
+  std::map<std::string, std::string> m;
+  for (auto& [name, value] : fields) m[lower(name)] = value;
+  return m;
+}
 
 const char* reason_of(int status) {
   for (auto& [code, text] : {std::pair{200, "OK"},
@@ -115,17 +57,22 @@
 
  private:
   void parse() {
-    std::ptrdiff_t took = in_.feed(pending_.data(), pending_.size());
-    if (took < 0) {
+    std::size_t took = 0;
+    auto state = in_.feed(pending_, took);
+    if (state == HttpReader::State::kMore) {
+      pending_.clear();
+      return read();
+    }
+    if (state != HttpReader::State::kDone) {
       close_ = true;
-      return answer({in_.too_large ? 413 : 400, "", {}});
+      return answer({state == HttpReader::State::kBad ? 400 : 413, "", {}});
     }
-    pending_.erase(0, std::size_t(took));
-    if (!in_.complete) return read();
-    in_.complete = false;
-    close_ = !http_should_keep_alive(&in_.parser);
+    pending_.erase(0, took);
+    HttpMessage m = in_.take();
+    close_ = !m.keep_alive;
     auto self = shared_from_this();
-    (*handler_)(std::move(in_.message), [self](HttpReply r) { self->answer(std::move(r)); });
+    (*handler_)({m.method, m.target, std::move(m.body), by_name(m.fields)},
+                [self](HttpReply r) { self->answer(std::move(r)); });
   }
   void answer(HttpReply r) {
     if (!r.body.empty() && !r.headers.count("Content-Type")) r.headers["Content-Type"] = "application/json";
@@ -142,7 +89,7 @@
   }
   tcp::socket socket_;
   std::shared_ptr<HttpHandler> handler_;
-  Collector in_{HTTP_REQUEST};
+  HttpReader in_{HttpReader::Kind::kRequests, constants::kMaxHttpHeaderBytes, constants::kMaxHttpBodyBytes};
   std::string pending_;
   bool close_ = false;
 };
@@ -152,7 +99,7 @@
   tcp::socket socket;
   asio::steady_timer timer;
   std::string out;
-  Collector in{HTTP_RESPONSE};
+  HttpReader in{HttpReader::Kind::kResponses, constants::kMaxHttpHeaderBytes, constants::kMaxHttpBodyBytes};
   std::function<void(HttpReply)> done;
   char chunk[1024];
 
@@ -169,9 +116,12 @@
     socket.async_read_some(
         asio::buffer(chunk), [self = shared_from_this()](const asio::error_code& ec, size_t n) {
           if (ec) return self->finish({0, "", {}});
-          if (self->in.feed(self->chunk, n) < 0) return self->finish({0, "", {}});
-          if (!self->in.complete) return self->read();
-          self->finish({int(self->in.parser.status_code), self->in.message.body, self->in.message.headers});
+          std::size_t took = 0;
+          auto state = self->in.feed({self->chunk, n}, took);
+          if (state == HttpReader::State::kMore) return self->read();
+          if (state != HttpReader::State::kDone) return self->finish({0, "", {}});
+          HttpMessage m = self->in.take();
+          self->finish({m.status, std::move(m.body), by_name(m.fields)});
         });
   }
 };
--- a/src/keel/line_conn.cc
+++ b/src/keel/line_conn.cc
@@ -14,18 +14,18 @@
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
-LineConn::LineConn(tcp::socket socket, std::size_t max_line)
-    : socket_(std::move(socket)), max_line_(max_line) {
+LineConn::LineConn(tcp::socket socket, std::size_t max_line, Kind kind)
+    : socket_(std::move(socket)), max_line_(max_line), kind_(kind) {
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
   socket_.set_option(tcp::no_delay(true), ignored);
 }
 
 void LineConn::connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, std::size_t max_line,
-                       std::function<void(Ptr, const asio::error_code&)> done) {
+                       std::function<void(Ptr, const asio::error_code&)> done, Kind kind) {
   asio::error_code ec;
   auto address = asio::ip::make_address(to.host, ec);
-  auto conn = std::make_shared<LineConn>(tcp::socket(io), max_line);
+  auto conn = std::make_shared<LineConn>(tcp::socket(io), max_line, kind);
   if (!ec) conn->socket_.open(tcp::v4(), ec);
   if (ec) {
     asio::post(io, [done, ec] { done(nullptr, ec); });
@@ -77,17 +77,8 @@
   joined.append(in_).append(data);
   in_.clear();
   std::size_t from = 0;
-  for (;;) {
-    auto nl = joined.find('\n', from);
-    if (nl == std::string::npos) break;
-    std::string_view line(joined.data() + from, nl - from);
-    from = nl + 1;
-    if (line.size() > max_line_) return end(End::kTooLong);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    h_.on_line(line);
-    if (!open_) return;
-  }
-  if (joined.size() - from > max_line_) return end(End::kTooLong);
+  if (!hand_on(joined, from)) return;
+  if (joined.size() - from > max_line_ + 4) return end(End::kTooLong);
   if (from < joined.size()) {
     in_.assign(joined, from);
   } else {
@@ -97,6 +88,43 @@
   if (open_) wait_read();
 }
 
+// Hands on what is complete; false when the connection has ended meanwhile.
+bool LineConn::hand_on(std::string_view joined, std::size_t& from) {
+  if (kind_ == Kind::kBytes) {
+    from = joined.size();
+    h_.on_line(joined);
+    return open_;
+  }
+  for (;;) {
+    std::string_view item;
+    if (kind_ == Kind::kFrames) {
+      if (joined.size() - from < 4) return true;
+      std::size_t n = 0;
+      for (std::size_t i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(joined[from + i]);
+      if (n > max_line_) return end(End::kTooLong), false;
+      if (joined.size() - from < 4 + n) return true;
+      item = joined.substr(from + 4, n);
+      from += 4 + n;
+    } else {
+      auto nl = joined.find('\n', from);
+      if (nl == std::string_view::npos) return true;
+      item = joined.substr(from, nl - from);
+      from = nl + 1;
+      if (item.size() > max_line_) return end(End::kTooLong), false;
+      if (!item.empty() && item.back() == '\r') item.remove_suffix(1);
+    }
+    h_.on_line(item);
+    if (!open_) return false;
+  }
+}
+
+void LineConn::send_frame(std::string_view frame) {
+  char length[4];
+  for (int i = 0; i < 4; ++i) length[i] = char(frame.size() >> (24 - 8 * i));
+  send({length, 4});
+  send(frame);
+}
+
 void LineConn::send(std::string_view bytes) {
   if (!open_ || closing_) return;
   out_.append(bytes);
--- a/src/keel/line_conn.h
+++ b/src/keel/line_conn.h
@@ -1,4 +1,5 @@
-// A TCP connection that carries lines. Reads and writes are buffered; a slow reader stops its writer.
+// A TCP connection that carries lines, frames with their length before them, or bytes as they come. Reads and
+// writes are buffered; a slow reader stops its writer.
 #pragma once
 #include <asio.hpp>
 #include <functional>
@@ -13,18 +14,20 @@
  public:
   using Ptr = std::shared_ptr<LineConn>;
   enum class End { kClosed, kReset, kTooLong };
+  enum class Kind { kLines, kFrames, kBytes };
   struct Handlers {
-    std::function<void(std::string_view line)> on_line;  // without its CR LF
+    std::function<void(std::string_view line)> on_line;  // without its CR LF; or a frame, or bytes
     std::function<void(End)> on_end;                     // once, unless closed from this side
     std::function<void()> on_batch;                      // after the lines of one read
   };
 
-  LineConn(asio::ip::tcp::socket socket, std::size_t max_line);
+  LineConn(asio::ip::tcp::socket socket, std::size_t max_line, Kind kind = Kind::kLines);
   static void connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, std::size_t max_line,
-                      std::function<void(Ptr, const asio::error_code&)> done);
+                      std::function<void(Ptr, const asio::error_code&)> done, Kind kind = Kind::kLines);
 
   void start(Handlers h);
   void send(std::string_view bytes);
+  void send_frame(std::string_view frame);
   void close();              // at once; no more callbacks
   void close_after_flush();  // what was sent is written first
   bool open() const { return open_; }
@@ -36,10 +39,12 @@
  private:
   void wait_read();
   void on_readable();
+  bool hand_on(std::string_view joined, std::size_t& from);
   void flush();
   void end(End why);
   asio::ip::tcp::socket socket_;
   std::size_t max_line_;
+  Kind kind_;
   Handlers h_;
   std::string in_, out_, flight_;
   bool open_ = true, started_ = false, reading_ = false, writing_ = false, flush_posted_ = false;
--- a/src/keel/settings.cc
+++ b/src/keel/settings.cc
@@ -26,6 +26,8 @@
     "Bounds": {"type": "object"},
     "FaultTolerance": {"type": "object", "properties": {
       "MachineLosses": {"type": "integer", "minimum": 0, "maximum": 3}}},
+    "TargetService": {"type": "string", "minLength": 1},
+    "AppServerAddr": {"type": "string"},
     "PlatformApi": {"type": ["object", "null"]}
   }
 })";
@@ -82,6 +84,14 @@
     s.platform = Endpoint::parse(j["PlatformApi"]["Address"].get<std::string>());
     if (!s.platform) return Out::fail("PlatformApi.Address: not an address with a port");
   }
+  s.target_service = j.value("TargetService", "");
+  if (j.contains("AppServerAddr")) {
+    s.app = Endpoint::parse(j["AppServerAddr"].get<std::string>());
+    if (!s.app) return Out::fail("AppServerAddr: not an address with a port");
+  }
+  s.retry_ratio = std::max(0.0, number(bounds, "RetryRatio", s.retry_ratio));
+  s.retry_window_ms = Millis(std::max(0.001, number(bounds, "RetryWindowS", 10)) * 1000.0);
+  s.retry_slack = std::max(0.0, number(bounds, "RetrySlack", s.retry_slack));
   return Out::ok(std::move(s));
 }
 
--- a/src/keel/settings.h
+++ b/src/keel/settings.h
@@ -28,8 +28,16 @@
   int max_open_files = 0;
   int machine_losses = 1;  // of cores, at once, while every promise still holds
   std::optional<Endpoint> platform;
+  // On the machine of an application database: its service, and where it listens.
+  std::string target_service;
+  std::optional<Endpoint> app;
+  // What all nodes together may send to a second database: a share of first tries in a window, and a slack.
+  double retry_ratio = 0.1;
+  Millis retry_window_ms = 10000;
+  double retry_slack = 0;
 
   Endpoint inner() const { return {ip, inner_first}; }  // cores and tenders meet here
+  Endpoint lighter() const { return {ip, std::uint16_t(inner_first + 2)}; }  // lighters meet here
   Endpoint feed() const { return {"127.0.0.1", std::uint16_t(inner_first + 1)}; }  // tender feeds its berth
 };
 
--- /dev/null
+++ b/src/lighter/inbound.cc
@@ -0,0 +1,309 @@
+#include "lighter/inbound.h"
+
+#include <algorithm>
+
+namespace pebblespindle::lighter {
+using namespace constants;
+
+void Inbound::database(std::optional<Instance> i) {
+  bool other = !here_ || !i || here_->id != i->id;
+  here_ = std::move(i);
+  if (!other) return;
+  // Another life: what was learned of the former one is void, and its connections have ended with it.
+  ill_ = mean_ = 0;
+  silent_ = 0;
+  down_ = trial_ = false;
+  std::vector<ConnId> idle;
+  for (auto& [id, s] : servers_)
+    if (s.job == 0) idle.push_back(id);
+  for (auto id : idle) drop_server(id);
+  if (here_) return pump();
+  for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
+    auto id = std::get<2>(r);
+    say_no(jobs_[id].link, jobs_[id].n, "gone", false);
+    end_job(id);
+  }
+}
+
+Json Inbound::load() const {
+  int cap = here_ ? here_->capacity : 1;
+  return Json::array({running_, queue_.size(), cap, int(ill_ * 100)});
+}
+
+void Inbound::say_no(LinkId link, std::uint64_t n, const char* why, bool waited) {
+  Json m{{"t", "no"}, {"n", n}, {"y", why}, {"l", load()}};
+  if (waited) m["w"] = true;
+  port_.reply(link, m);
+}
+
+void Inbound::say_fail(const Job& j, bool ran) {
+  if (j.wanted) port_.reply(j.link, {{"t", "fail"}, {"n", j.n}, {"r", ran}, {"l", load()}});
+}
+
+void Inbound::offer(LinkId link, const Json& m) {
+  const std::uint64_t n = m.at("n");
+  // One that is leaving takes nothing new: whoever sends has not heard yet, and turns elsewhere.
+  if (!here_ || here_->draining || m.at("i") != here_->id.value) return say_no(link, n, "gone", false);
+  if (down_ && (trial_ || now_ < trial_at_)) return say_no(link, n, "down", false);
+  const Millis wait = m.value("w", Millis(0)), left = m.at("d");
+  auto cap = std::size_t(std::max(1, here_->capacity));
+  if (running_ >= cap) {
+    // How long it would wait, as things stand; a wait that will be too long is refused now.
+    double ahead = double(queue_.size() + 1) * mean_ / double(cap);
+    if (wait <= 0 || ahead > double(wait)) return say_no(link, n, "full", wait > 0);
+  }
+  Job j;
+  j.link = link;
+  j.n = n;
+  j.call = {m.at("m"), m.at("u"), m.at("b"), fields_from(m.at("h"))};
+  j.began = now_;
+  j.deadline = now_ + left;
+  j.until = now_ + wait;
+  j.priority = m.value("p", 1);
+  j.safe = m.value("s", false);
+  j.caller = m.value("c", "");
+  std::uint64_t id = ++last_job_;
+  jobs_[id] = std::move(j);
+  if (down_) trial_ = true;
+  admit(id);
+}
+
+void Inbound::admit(std::uint64_t id) {
+  Job& j = jobs_[id];
+  if (running_ < std::size_t(std::max(1, here_->capacity))) return start(id);
+  queue_.insert(rank(id, j));
+  j.timer = timers_.at(std::min(j.until, j.deadline), [this, id] {
+    Job& x = jobs_[id];
+    x.timer = 0;
+    queue_.erase(rank(id, x));
+    say_no(x.link, x.n, "full", true);
+    end_job(id);
+  });
+}
+
+void Inbound::pump() {
+  while (here_ && !queue_.empty() && running_ < std::size_t(std::max(1, here_->capacity))) {
+    auto id = std::get<2>(*queue_.begin());
+    queue_.erase(queue_.begin());
+    timers_.cancel(jobs_[id].timer);
+    start(id);
+  }
+}
+
+// The connection used last is the warmest. One that has rested as long as others were found dead is not
+// trusted with what may not run twice.
+ConnId Inbound::idle_server(bool safe) {
+  ConnId best = 0;
+  Millis since = -1;
+  std::vector<ConnId> old;
+  for (auto& [id, s] : servers_) {
+    if (!s.up || s.job != 0) continue;
+    Millis age = now_ - s.idle_since;
+    if (s.keep_ms > 0 && age >= s.keep_ms) {
+      old.push_back(id);
+      continue;
+    }
+    if (!safe && age > std::max<Millis>(kIdleLeastMs, idle_most_)) continue;
+    if (s.idle_since > since) best = id, since = s.idle_since;
+  }
+  for (auto id : old) drop_server(id);
+  return best;
+}
+
+void Inbound::start(std::uint64_t id) {
+  ++running_;
+  Job& j = jobs_[id];
+  j.timer = timers_.at(std::max(j.deadline, now_), [this, id] {
+    jobs_[id].timer = 0;
+    on_deadline(id);
+  });
+  if (ConnId c = idle_server(j.safe)) return run_on(id, c);
+  ConnId c = ++last_conn_;
+  Server& s = servers_[c];
+  s.job = id;
+  j.conn = c;
+  s.timer = timers_.at(now_ + kAppConnectMs, [this, c] {
+    servers_[c].timer = 0;
+    server_down(c, false);
+  });
+  port_.open_server(c);
+}
+
+void Inbound::server_up(ConnId id) {
+  auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  timers_.cancel(it->second.timer);
+  it->second.up = true;
+  if (it->second.job) run_on(it->second.job, id);
+}
+
+void Inbound::run_on(std::uint64_t id, ConnId conn) {
+  Job& j = jobs_[id];
+  Server& s = servers_[conn];
+  s.job = id;
+  j.conn = conn;
+  Call c = j.call;
+  set_field(c.fields, kDeadlineField,
+            std::to_string(std::max<Millis>(1, j.deadline - now_ - kDeadlineWayMs)));
+  set_field(c.fields, kTargetField, here_ ? here_->id.value : "-");
+  set_field(c.fields, kCallerField, j.caller);
+  port_.to_server(conn, c);
+}
+
+void Inbound::server_reply(ConnId id, Reply r, Millis keep_ms) {
+  auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  Server& s = it->second;
+  const std::uint64_t job = s.job;
+  if (job == 0) return drop_server(id);  // an answer nobody waits for
+  Job& j = jobs_[job];
+  const std::string *ours = find_field(j.call.fields, kIdField), *theirs = find_field(r.fields, kIdField);
+  if (ours && theirs &&
+      *ours != *theirs) {  // of another request, late: ours is still due, on this connection
+    s.keep_ms = -1;
+    return;
+  }
+  bool stamped = find_field(r.fields, kSealField) != nullptr;
+  bool not_run = find_field(r.fields, kNotRunField) != nullptr || r.status == 421;
+  bool broken = r.status < 300 && !stamped;  // not what the database would have said
+  met(!broken && (r.status < 500 || not_run), false);
+  double took = double(now_ - j.began);
+  if (r.status < 500) mean_ = mean_ == 0 ? took : mean_ + (took - mean_) * kIllLearn;
+  const bool keep = keep_ms >= 0 && s.keep_ms >= 0 && !broken;
+  s.job = 0;
+  s.used = true;
+  s.idle_since = now_;
+  s.keep_ms = keep_ms;
+  --running_;
+  if (broken) {
+    say_fail(j, true);
+  } else if (j.wanted) {
+    Json m{{"t", "a"},
+           {"n", j.n},
+           {"s", r.status},
+           {"h", fields_json(end_to_end(r.fields))},
+           {"b", std::move(r.body)},
+           {"l", load()}};
+    if (not_run) m["x"] = true;
+    port_.reply(j.link, m);
+  }
+  end_job(job);
+  if (!keep) drop_server(id);
+  pump();
+}
+
+void Inbound::server_down(ConnId id, bool refused) {
+  auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  Server s = it->second;
+  drop_server(id);
+  if (s.job == 0) {
+    // It was closed while it rested: the database keeps them no longer than that.
+    Millis age = now_ - s.idle_since;
+    if (s.used && age > kIdleLeastMs) idle_most_ = std::min(idle_most_, Millis(double(age) * kIdleShare));
+    return;
+  }
+  Job& j = jobs_[s.job];
+  --running_;
+  timers_.cancel(j.timer);
+  if (!s.up) {  // the request was never sent
+    if (refused || ++silent_ >= kDownSilent) set_down();
+    met(false, false);
+    say_no(j.link, j.n, "down", false);
+  } else if (s.used && j.safe && !j.again) {
+    // A connection that had been used before may have been closed as the request was sent: once more, at the
+    // same database, over a new one.
+    Millis age = now_ - s.idle_since;
+    if (now_ - j.began < kIdleLeastMs)
+      idle_most_ = std::max(kIdleLeastMs, std::min(idle_most_, Millis(double(age) * kIdleShare)));
+    j.again = true;
+    std::uint64_t job = s.job;
+    j.conn = 0;
+    if (here_) return admit(job);
+    say_fail(j, true);
+  } else {
+    if (s.used && now_ - j.began < kIdleLeastMs)
+      idle_most_ =
+          std::max(kIdleLeastMs, std::min(idle_most_, Millis(double(now_ - s.idle_since) * kIdleShare)));
+    met(false, false);
+    say_fail(j, true);
+  }
+  end_job(s.job);
+  pump();
+}
+
+void Inbound::on_deadline(std::uint64_t id) {
+  Job& j = jobs_[id];
+  auto it = servers_.find(j.conn);
+  bool sent = it != servers_.end() && it->second.up;
+  if (it != servers_.end()) drop_server(j.conn);
+  --running_;
+  met(false, true);
+  if (sent)
+    say_fail(j, true);
+  else
+    say_no(j.link, j.n, "down", false);
+  end_job(id);
+  pump();
+}
+
+void Inbound::end_job(std::uint64_t id) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  timers_.cancel(it->second.timer);
+  jobs_.erase(it);
+}
+
+void Inbound::drop_server(ConnId id) {
+  auto it = servers_.find(id);
+  if (it == servers_.end()) return;
+  timers_.cancel(it->second.timer);
+  servers_.erase(it);
+  port_.close_server(id);
+}
+
+// Each result at the database counts: it alone is asked through here.
+void Inbound::met(bool good, bool silent) {
+  ill_ += ((good ? 0.0 : 1.0) - ill_) * kIllLearn;
+  if (good) {
+    silent_ = 0;
+    down_ = trial_ = false;
+  } else if (silent && ++silent_ >= kDownSilent) {
+    set_down();
+  } else if (trial_) {
+    set_down();
+  }
+}
+
+// It takes nothing until one request has been answered; who waits is told at once.
+void Inbound::set_down() {
+  down_ = true;
+  trial_ = false;
+  trial_at_ = now_ + kDownTrialMs;
+  for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
+    auto id = std::get<2>(r);
+    say_no(jobs_[id].link, jobs_[id].n, "down", false);
+    end_job(id);
+  }
+}
+
+void Inbound::cancel(LinkId link, std::uint64_t n) {
+  for (auto& [id, j] : jobs_) {
+    if (j.link != link || j.n != n) continue;
+    j.wanted = false;
+    if (queue_.erase(rank(id, j))) return end_job(id);
+    return;  // what runs at the database ends there by itself
+  }
+}
+
+void Inbound::link_gone(LinkId link) {
+  std::vector<std::uint64_t> waiting;
+  for (auto& [id, j] : jobs_) {
+    if (j.link != link) continue;
+    j.wanted = false;
+    if (queue_.erase(rank(id, j))) waiting.push_back(id);
+  }
+  for (auto id : waiting) end_job(id);
+}
+
+}  // namespace pebblespindle::lighter
--- /dev/null
+++ b/src/lighter/inbound.h
@@ -0,0 +1,95 @@
+// The half of a lighter beside a database, through which alone requests come to it. So it knows exactly what
+// runs there: it keeps the queue, never gives the database more than its slots, refuses early and truly, and
+// judges it by every result. No I/O.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+
+#include "keel/constants.h"
+#include "keel/timers.h"
+#include "lighter/call.h"
+#include "ordinance/records.h"
+
+namespace pebblespindle::lighter {
+
+class InPort {
+ public:
+  virtual ~InPort() = default;
+  virtual void reply(LinkId, const Json& frame) = 0;
+  virtual void open_server(ConnId) = 0;
+  virtual void to_server(ConnId, const Call&) = 0;
+  virtual void close_server(ConnId) = 0;
+};
+
+class Inbound {
+ public:
+  Inbound(InPort& port, Timers& timers) : port_(port), timers_(timers) {}
+  void set_time(Millis now) { now_ = now; }
+
+  // The database that is here now; none once it has ended.
+  void database(std::optional<Instance> i);
+  const std::optional<Instance>& database() const { return here_; }
+
+  void offer(LinkId link, const Json& m);
+  void cancel(LinkId link, std::uint64_t n);
+  void link_gone(LinkId link);
+
+  void server_up(ConnId id);
+  // keep_ms: how long the database says it keeps the connection unused; below 0: it closes it.
+  void server_reply(ConnId id, Reply r, Millis keep_ms);
+  void server_down(ConnId id, bool refused);
+  std::size_t busy() const { return running_ + queue_.size(); }
+
+ private:
+  struct Job {
+    LinkId link = 0;
+    std::uint64_t n = 0;
+    Call call;
+    Millis began = 0, deadline = 0, until = 0;
+    int priority = 0;
+    bool safe = false, wanted = true, again = false;
+    std::string caller;
+    ConnId conn = 0;
+    Timers::Id timer = 0;
+  };
+  struct Server {
+    bool up = false, used = false;
+    std::uint64_t job = 0;  // 0: idle
+    Millis idle_since = 0, keep_ms = 0;
+    Timers::Id timer = 0;
+  };
+  using Rank = std::tuple<int, Millis, std::uint64_t>;  // priority, deadline, job
+  static Rank rank(std::uint64_t id, const Job& j) { return {j.priority, j.deadline, id}; }
+
+  Json load() const;
+  void say_no(LinkId link, std::uint64_t n, const char* why, bool waited);
+  void say_fail(const Job& j, bool ran);
+  void admit(std::uint64_t id);
+  void pump();
+  void start(std::uint64_t id);
+  void run_on(std::uint64_t id, ConnId conn);
+  void on_deadline(std::uint64_t id);
+  void end_job(std::uint64_t id);
+  void drop_server(ConnId id);
+  void met(bool good, bool silent);
+  void set_down();
+  ConnId idle_server(bool safe);
+
+  InPort& port_;
+  Timers& timers_;
+  Millis now_ = 0;
+  std::optional<Instance> here_;
+  std::map<std::uint64_t, Job> jobs_;
+  std::set<Rank> queue_;
+  std::map<ConnId, Server> servers_;
+  std::size_t running_ = 0;
+  std::uint64_t last_job_ = 0;
+  ConnId last_conn_ = 0;
+  double ill_ = 0, mean_ = 0;  // share of results that were failures; how long a request takes, ms
+  int silent_ = 0;
+  bool down_ = false, trial_ = false;
+  Millis trial_at_ = 0, idle_most_ = constants::kIdleUnknownMs;
+};
+
+}  // namespace pebblespindle::lighter
--- /dev/null
+++ b/src/lighter/lighter.cc
@@ -0,0 +1,286 @@
+// The sidecar proxy's process: joins its two halves to sockets, to the tender's feed, and to the beats of the
+// database beside it.
+#include <csignal>
+
+#include "keel/constants.h"
+#include "keel/http.h"
+#include "keel/log.h"
+#include "keel/loop.h"
+#include "keel/registry.h"
+#include "keel/role.h"
+#include "lighter/front.h"
+#include "lighter/inbound.h"
+#include "lighter/outbound.h"
+#include "lighter/quays.h"
+
+namespace pebblespindle {
+namespace {
+
+using namespace constants;
+using namespace lighter;
+
+class Lighter : public OutPort, public InPort {
+ public:
+  explicit Lighter(Settings s)
+      : settings_(std::move(s)),
+        front_(loop_, {[this](CallId id, Call c) {
+                         touch();
+                         out_.call(id, std::move(c));
+                       },
+                       [this](CallId id) {
+                         touch();
+                         out_.client_gone(id);
+                       },
+                       [this]() -> const Limits& { return chart_.config().limits; }}),
+        links_(loop_, {[this](const Endpoint& from, const Json& m) {
+                         touch();
+                         out_.frame(from, m);
+                       },
+                       [this](const Endpoint& at, bool sent) {
+                         touch();
+                         out_.link_down(at, sent);
+                       },
+                       [this](LinkId link, const Json& m) { on_offer(link, m); },
+                       [this](LinkId link) {
+                         touch();
+                         in_.link_gone(link);
+                       }}),
+        app_(loop_, settings_.app,
+             {[this](ConnId id) {
+                touch();
+                in_.server_up(id);
+              },
+              [this](ConnId id, Reply r, Millis keep) {
+                touch();
+                in_.server_reply(id, std::move(r), keep);
+              },
+              [this](ConnId id, bool refused) {
+                touch();
+                in_.server_down(id, refused);
+              }}),
+        out_(*this, loop_.timers(), chart_,
+             {settings_.zone, settings_.target_service, settings_.retry_ratio, settings_.retry_slack,
+              settings_.retry_window_ms, std::random_device{}()}),
+        in_(*this, loop_.timers()) {}
+
+  int run() {
+    auto listener = [this](const char* name) {
+      auto it = settings_.listeners.find(name);
+      return it == settings_.listeners.end() ? Endpoint{} : it->second;
+    };
+    if (settings_.inner_last < settings_.inner_first + 2)
+      return refuse("InternalPortRange: wants three ports.");
+    auto ready = HttpServer::listen(loop_.io(), listener("Readiness"), [this](HttpRequest r, HttpDone done) {
+      if (r.path != "/readiness") return done({404, "", {}});
+      done({chart_.fed() && !leaving_ ? 200 : 503, "", {}});
+    });
+    if (!ready) return refuse(ready.reason);
+    auto control =
+        HttpServer::listen(loop_.io(), listener("ControlPlane"),
+                           [this](HttpRequest r, HttpDone done) { on_beat(std::move(r), std::move(done)); });
+    if (!control) return refuse(control.reason);
+    if (auto why = links_.listen(settings_.lighter()); !why.empty()) return refuse(why);
+    if (auto why = front_.listen(listener("OutboundAddr")); !why.empty()) return refuse(why);
+    loop_.on_signal(SIGTERM, [this] { leave(); });
+    loop_.on_signal(SIGHUP, [this] {
+      auto s = load_settings(settings_path());
+      log_.say(s ? "Settings read again." : "Settings not taken: " + s.reason);
+    });
+    log_.say("Lighter " + settings_.node_name + " serves beside " + settings_.target_service + ".");
+    loop_.every(kNodeRenewMs, [this] { renew(); });
+    connect_feed();
+    loop_.run();
+    return 0;
+  }
+
+  // OutPort
+  void answer(CallId id, Reply r) override { front_.answer(id, std::move(r)); }
+  void offer(const Endpoint& at, const Json& frame) override {
+    if (at != settings_.lighter()) return links_.send(at, frame);
+    asio::post(loop_.io(), [this, frame] {
+      on_offer(0, frame);
+      loop_.rearm();
+    });
+  }
+  // InPort
+  void reply(LinkId link, const Json& frame) override {
+    if (link != 0) return links_.reply(link, frame);
+    asio::post(loop_.io(), [this, frame] {
+      touch();
+      out_.frame(settings_.lighter(), frame);
+      loop_.rearm();
+    });
+  }
+  void open_server(ConnId id) override { app_.open(id); }
+  void to_server(ConnId id, const Call& c) override { app_.send(id, c); }
+  void close_server(ConnId id) override { app_.close(id); }
+
+ private:
+  int refuse(const std::string& why) {
+    log_.say(why);
+    return 1;
+  }
+  void touch() {
+    Millis now = loop_.now();
+    out_.set_time(now);
+    out_.sure(now < lease_until_ && chart_.number() >= lease_number_);
+    in_.set_time(now);
+  }
+
+  void on_offer(LinkId link, const Json& m) {
+    touch();
+    if (m.value("t", "") == "q")
+      in_.offer(link, m);
+    else if (m.value("t", "") == "x")
+      in_.cancel(link, m.value("n", std::uint64_t(0)));
+  }
+
+  // --- the database's beats -----------------------------------------------------
+
+  void on_beat(HttpRequest r, HttpDone done) {
+    const std::string kInstances = "/instances/";
+    if (!r.path.starts_with(kInstances) || r.path.size() == kInstances.size()) return done({404, "", {}});
+    InstanceId id{r.path.substr(kInstances.size())};
+    touch();
+    if (r.method == "DELETE") {
+      if (in_.database() && in_.database()->id == id) in_.database(std::nullopt);
+      left_ = id;
+      return tell_core({{"t", "leave"}, {"id", id.value}}, id, 0, std::move(done));
+    }
+    if (r.method != "PUT") return done({404, "", {}});
+    auto beat = read_beat(id.value, r.body);
+    if (!beat) return done({400, Json{{"ErrorMessage", beat.reason}}.dump(), {}});
+    Instance i = *beat.value;
+    // Others reach it through here.
+    i.address = settings_.lighter();
+    if (!(left_ == id)) in_.database(i);
+    const Instance* known = chart_.instance(id);
+    if (known && known->same_but_calls(i) && now_leased()) return done({200, "", {}});
+    tell_core({{"t", "beat"}, {"id", id.value}, {"v", i.json().dump()}}, id, i.calls, std::move(done));
+  }
+
+  bool now_leased() const { return loop_.now() < lease_until_; }
+
+  // What the core must know is acknowledged only once it has said so.
+  void tell_core(const Json& m, const InstanceId& id, std::uint64_t calls, HttpDone done) {
+    if (!feed_) return done({503, "", {}});
+    auto key = std::make_pair(id, calls);
+    if (auto old = waiting_.find(key); old != waiting_.end()) old->second({503, "", {}}), waiting_.erase(old);
+    waiting_[key] = std::move(done);
+    Json told = m;
+    told["calls"] = calls;
+    feed_->send(told.dump() + "\n");
+    loop_.timers().at(loop_.now() + kBeatAnswerMs, [this, key] { beat_answered(key, 503); });
+    loop_.rearm();
+  }
+  void beat_answered(const std::pair<InstanceId, std::uint64_t>& key, int status) {
+    auto it = waiting_.find(key);
+    if (it == waiting_.end()) return;
+    auto done = std::move(it->second);
+    waiting_.erase(it);
+    done({status, "", {}});
+  }
+
+  // --- the feed ---------------------------------------------------------------
+
+  void connect_feed() {
+    LineConn::connect(loop_.io(), settings_.feed(), kServerConnectMs, kMaxLinkBytes,
+                      [this](LineConn::Ptr conn, const asio::error_code&) {
+                        if (!conn) return retry_feed();
+                        feed_ = conn;
+                        conn->start({[this](std::string_view line) { on_feed(line); },
+                                     [this](LineConn::End) {
+                                       feed_ = nullptr;
+                                       retry_feed();
+                                     },
+                                     [this] { loop_.rearm(); }});
+                        renew();
+                      });
+  }
+  void retry_feed() {
+    loop_.timers().at(loop_.now() + kReconnectMs, [this] { connect_feed(); });
+    loop_.rearm();
+  }
+  void renew() {
+    if (feed_) feed_->send(Json{{"t", "renew"}, {"at", loop_.now()}, {"ack", chart_.number()}}.dump() + "\n");
+  }
+
+  void on_feed(std::string_view line) {
+    Json m = Json::parse(line, nullptr, false);
+    if (!m.is_object()) return;
+    const std::string t = m.value("t", "");
+    if (t == "up") {
+      auto rows = rows_from_json(m["r"]);
+      if (!rows) return;
+      bool was = chart_.fed();
+      std::uint64_t k = m.value("k", std::uint64_t(0));
+      if (m.value("whole", false)) *rows.value = chart_.changes_to(k, std::move(*rows.value));
+      chart_.apply(k, *rows.value);
+      if (!was && chart_.fed())
+        log_.say("Ready with configuration " + std::to_string(chart_.config().revision) + ".");
+      touch();
+      if (!in_.database())  // this process is new, the database is not
+        for (auto& [id, i] : chart_.instances())
+          if (i.address == settings_.lighter() && !(left_ == id)) in_.database(i);
+      renew();
+    } else if (t == "grant") {
+      lease_until_ =
+          std::max(lease_until_, m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs);
+      lease_number_ = m.value("k", std::uint64_t(0));
+      out_.fleet(m.value("n", std::size_t(1)));
+    } else if (t == "beaten") {
+      beat_answered({{m.value("id", "")}, m.value("calls", std::uint64_t(0))}, m.value("s", 503));
+    }
+  }
+
+  // Unready at once; what is under way ends first, within the grace period.
+  void leave() {
+    if (leaving_) return;
+    log_.say("Asked to end: unready from now on.");
+    leaving_ = true;
+    auto& timers = loop_.timers();
+    timers.at(loop_.now() + std::min(kUnreadyNoticeMs, settings_.grace_ms / 2), [this] {
+      front_.leave();
+      end_if_empty();
+    });
+    timers.at(loop_.now() + settings_.grace_ms - kReconnectMs * 2, [this] { loop_.stop(); });
+    loop_.rearm();
+  }
+  void end_if_empty() {
+    if (front_.waiting() == 0 && in_.busy() == 0) {
+      loop_.timers().at(loop_.now() + kReconnectMs / 5, [this] {
+        log_.say("All requests have ended.");
+        loop_.stop();
+      });
+    } else {
+      loop_.timers().at(loop_.now() + kReconnectMs / 2, [this] { end_if_empty(); });
+    }
+    loop_.rearm();
+  }
+
+  Log log_{"lighter"};
+  Settings settings_;
+  Loop loop_;
+  Chart chart_;
+  Front front_;
+  Links links_;
+  AppConns app_;
+  Outbound out_;
+  Inbound in_;
+  LineConn::Ptr feed_;
+  InstanceId left_;
+  std::map<std::pair<InstanceId, std::uint64_t>, HttpDone> waiting_;  // beats that the core has not answered
+  Millis lease_until_ = 0;
+  std::uint64_t lease_number_ = 0;
+  bool leaving_ = false;
+};
+
+int run_lighter(const std::string&) {
+  return run_role("lighter", [](Settings s) { return Lighter(std::move(s)).run(); });
+}
+
+RegisterCommand lighter_command("lighter",
+                                {"carries the requests of the service on its machine", "", run_lighter});
+
+}  // namespace
+}  // namespace pebblespindle
--- /dev/null
+++ b/src/lighter/outbound.cc
@@ -0,0 +1,306 @@
+#include "lighter/outbound.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace pebblespindle::lighter {
+using namespace constants;
+
+namespace {
+
+// The whole number at the start of a field; fractions of a millisecond do not count.
+std::optional<Millis> millis_of(const std::string* field) {
+  if (!field) return std::nullopt;
+  Millis v = 0;
+  auto r = std::from_chars(field->data(), field->data() + field->size(), v);
+  if (r.ec != std::errc() || v < 0) return std::nullopt;
+  return v;
+}
+
+}  // namespace
+
+Outbound::Outbound(OutPort& port, Timers& timers, const Chart& chart, Terms terms)
+    : port_(port),
+      timers_(timers),
+      chart_(chart),
+      terms_(std::move(terms)),
+      budget_(terms_.retry_ratio, terms_.retry_window_ms),
+      rng_(terms_.seed) {}
+
+Outbound::Work* Outbound::find(CallId id) {
+  auto it = works_.find(id);
+  return it == works_.end() ? nullptr : &it->second;
+}
+
+std::string Outbound::draw(const Route& r) {
+  if (r.split.empty()) return r.service;
+  int sum = 0;
+  for (auto& [service, weight] : r.split) sum += weight;
+  int n = int(rng_() % std::uint32_t(std::max(1, sum)));
+  for (auto& [service, weight] : r.split)
+    if ((n -= weight) < 0) return service;
+  return r.split.front().first;
+}
+
+void Outbound::call(CallId id, Call c) {
+  if (!chart_.fed()) return port_.answer(id, own_reply(503, kNodeRenewMs));
+  const std::string* host = find_field(c.fields, "Host");
+  if (!host || c.target.empty() || c.target.front() != '/') return port_.answer(id, own_reply(400));
+  auto path = std::string_view(c.target).substr(0, c.target.find('?'));
+  auto route = chart_.route(host->substr(0, host->find(':')), path);
+  // A node without news cannot tell a route that is missing from one it has not heard of.
+  if (!route) return port_.answer(id, sure_ ? own_reply(404) : own_reply(503, kNodeRenewMs));
+  Work& w = works_[id];
+  w.route = route;
+  w.service = draw(*route);
+  w.safe = route->type == RouteType::kIdempotent;
+  w.began = now_;
+  Millis left = route->timeout_ms;
+  if (auto told = millis_of(find_field(c.fields, kDeadlineField))) left = std::min(left, *told);
+  w.deadline = now_ + left;
+  w.call = std::move(c);
+  w.timer = timers_.at(w.deadline, [this, id] {
+    Work* x = find(id);
+    if (!x) return;
+    x->timer = 0;
+    finish(id, x->may_run > 0 ? own_reply(504) : own_reply(503, kAgainMs));
+  });
+  if (w.safe) {
+    auto u = usual_.find(route->name);
+    double most = double(route->target_ms) * kHedgeAimShare;
+    double patience = u == usual_.end() ? most : u->second.mean + kHedgeSpread * u->second.deviation;
+    w.hedge = timers_.at(now_ + std::max<Millis>(kHedgeLeastMs, Millis(patience)), [this, id] {
+      if (Work* x = find(id)) {
+        x->hedge = 0;
+        on_hedge(id);
+      }
+    });
+  }
+  next(id, false);
+}
+
+void Outbound::client_gone(CallId id) {
+  Work* w = find(id);
+  if (w) finish(id, {});
+}
+
+// --- choice -----------------------------------------------------------------
+
+double Outbound::load(const Instance& i, const Peer& p) const {
+  double cap = std::max(1, i.capacity);
+  double fresh = std::exp2(-double(now_ - p.told_at) / kLoadHalfMs);
+  double running = p.told * fresh + kLoadUsual * cap * (1 - fresh) + p.since * fresh;
+  running = std::max(running, double(p.flying));
+  double cost = (running + 1) / cap + p.ill * kIllCost;
+  if (i.zone != terms_.zone) cost += kAwayZoneCost;
+  if (now_ < p.full_until) cost += 1;
+  return cost;
+}
+
+// The least loaded of a few at home and a few elsewhere: few, so that not all nodes choose the same.
+const Instance* Outbound::choose(const Work& w, bool full_too) {
+  std::vector<const Instance*> home, away;
+  for (auto* i : chart_.of(w.service)) {
+    if (i->draining || w.tried.count(i->id) || (!full_too && w.full.count(i->id))) continue;
+    auto& p = peers_[i->id];
+    if (now_ < p.away_until) continue;
+    (i->zone == terms_.zone ? home : away).push_back(i);
+  }
+  const Instance* best = nullptr;
+  double best_load = 0;
+  for (auto* list : {&home, &away}) {
+    for (std::size_t n = 0; n < std::min(list->size(), kLooked); ++n) {
+      std::swap((*list)[n], (*list)[n + rng_() % (list->size() - n)]);
+      double l = load(*(*list)[n], peers_[(*list)[n]->id]);
+      if (!best || l < best_load) best = (*list)[n], best_load = l;
+    }
+  }
+  return best;
+}
+
+void Outbound::next(CallId id, bool wait) {
+  Work* w = find(id);
+  if (!w) return;
+  wait = wait || int(w->full.size()) >= kBusyTries;
+  const Instance* i = choose(*w, false);
+  if (!i) {  // all are full, or gone
+    wait = true;
+    i = choose(*w, true);
+  }
+  if (!i) {
+    if (w->open.empty()) refuse(id);
+    return;
+  }
+  send(id, *i, wait);
+}
+
+void Outbound::send(CallId id, const Instance& i, bool wait) {
+  Work& w = *find(id);
+  Peer& p = peers_[i.id];
+  ++p.since;
+  ++p.flying;
+  ++w.reached;
+  ++w.may_run;
+  std::uint64_t n = ++last_attempt_;
+  attempts_[n] = {id, i.id, i.address, now_};
+  w.open.insert(n);
+  w.tried.insert(i.id);
+  Millis until = std::min(w.deadline, w.began + Millis(double(w.route->target_ms) * kWaitShare));
+  Json m{{"t", "q"},
+         {"n", n},
+         {"i", i.id.value},
+         {"m", w.call.method},
+         {"u", w.call.target},
+         {"h", fields_json(w.call.fields)},
+         {"b", w.call.body},
+         {"d", w.deadline - now_},
+         {"w", wait ? std::max<Millis>(0, until - now_) : 0},
+         {"p", w.route->priority},
+         {"s", w.safe},
+         {"c", terms_.caller}};
+  port_.offer(i.address, m);
+}
+
+// --- outcomes -----------------------------------------------------------------
+
+void Outbound::told(const InstanceId& id, const Json& l) {
+  if (!l.is_array() || l.size() != 4) return;
+  Peer& p = peers_[id];
+  p.told = l[0].get<double>() + l[1].get<double>();
+  p.capacity = l[2].get<int>();
+  p.ill = l[3].get<double>() / 100.0;
+  p.told_at = now_;
+  p.since = 0;
+  p.away_pause = 0;
+}
+
+void Outbound::over(std::uint64_t attempt, Attempt& a) {
+  if (Work* w = find(a.call)) w->open.erase(attempt);
+  auto& p = peers_[a.instance];
+  if (p.flying > 0) --p.flying;
+}
+
+void Outbound::frame(const Endpoint&, const Json& m) {
+  auto it = attempts_.find(m.value("n", std::uint64_t(0)));
+  if (it == attempts_.end()) return;
+  Attempt a = it->second;
+  const std::uint64_t n = it->first;
+  const std::string t = m.value("t", "");
+  if (m.contains("l")) told(a.instance, m["l"]);
+  Work* w = find(a.call);
+  over(n, a);
+  attempts_.erase(it);
+  if (!w) return;
+  CallId id = a.call;
+  if (t == "no") {  // it never came near the database
+    --w->reached;
+    --w->may_run;
+    const std::string why = m.value("y", "");
+    if (why == "full") {
+      peers_[a.instance].full_until = now_ + kBusyMs;
+      if (m.value("w", false)) {  // it has waited as long as it may
+        if (w->open.empty()) refuse(id);
+        return;
+      }
+      w->full.insert(a.instance);
+      w->tried.erase(a.instance);
+    } else {
+      leave_alone(a.instance);
+    }
+    if (!w->open.empty()) return;
+    return next(id, false);
+  }
+  if (!std::exchange(w->counted, true)) budget_.first(now_);
+  if (t == "fail") return failed(id, m.value("r", true), 502);
+  if (t != "a") return;
+  Reply r{m.value("s", 502), m.value("b", ""), fields_from(m.value("h", Json()))};
+  if (m.value("x", false)) {  // the database's own promise that it has not run
+    --w->may_run;
+    return failed(id, false, 503);
+  }
+  if (r.status >= 500 && w->safe && r.status != 504) {
+    if (w->reached < w->route->max_attempts && spend(*w)) return next(id, false);
+    if (!w->open.empty()) return;
+  }
+  if (r.status < 400) {
+    auto& u = usual_[w->route->name];
+    double took = double(now_ - w->began);
+    u.mean = u.mean == 0 ? took : u.mean + (took - u.mean) * kAnswerLearn;
+    u.deviation =
+        u.deviation == 0 ? took : u.deviation + (std::abs(took - u.mean) - u.deviation) * kAnswerLearn;
+  }
+  finish(id, std::move(r));
+}
+
+// One database has failed it. Another is asked where that may be done twice, or was not done at all.
+void Outbound::failed(CallId id, bool ran, int status) {
+  Work* w = find(id);
+  if (!w || !w->open.empty()) return;  // another one still works on it
+  bool again = (w->safe || !ran) && w->reached < w->route->max_attempts && now_ < w->deadline;
+  if (again && (w->reached == 0 || spend(*w))) return next(id, false);
+  if (w->may_run == 0) return refuse(id);
+  finish(id, own_reply(status));
+}
+
+// One more database, out of the budget.
+bool Outbound::spend(Work& w) {
+  if (!std::exchange(w.counted, true)) budget_.first(now_);
+  return budget_.spend(now_);
+}
+
+void Outbound::leave_alone(const InstanceId& id) {
+  Peer& p = peers_[id];
+  p.away_pause = std::clamp(p.away_pause * 2, kAwayFirstMs, kAwayMostMs);
+  p.away_until = now_ + p.away_pause;
+}
+
+void Outbound::refuse(CallId id) {
+  Work* w = find(id);
+  if (w->may_run > 0) return finish(id, own_reply(502));
+  finish(id, own_reply(503, kAgainMs));
+}
+
+// An answer is missed: a second database is asked, and the first to answer counts.
+void Outbound::on_hedge(CallId id) {
+  Work* w = find(id);
+  if (!w || w->hedged || w->reached == 0 || w->reached >= w->route->max_attempts) return;
+  if (!spend(*w)) return;
+  w->hedged = true;
+  next(id, false);
+}
+
+void Outbound::finish(CallId id, Reply r) {
+  Work* w = find(id);
+  timers_.cancel(w->timer);
+  timers_.cancel(w->hedge);
+  for (auto n : w->open) {
+    auto a = attempts_.find(n);
+    if (a == attempts_.end()) continue;
+    port_.offer(a->second.at, {{"t", "x"}, {"n", n}});
+    auto& p = peers_[a->second.instance];
+    if (p.flying > 0) --p.flying;
+    attempts_.erase(a);
+  }
+  works_.erase(id);
+  if (r.status != 0) port_.answer(id, std::move(r));
+}
+
+void Outbound::link_down(const Endpoint& at, bool sent) {
+  std::vector<std::uint64_t> lost;
+  for (auto& [n, a] : attempts_)
+    if (a.at == at) lost.push_back(n);
+  for (auto n : lost) {
+    auto it = attempts_.find(n);
+    if (it == attempts_.end()) continue;
+    Attempt a = it->second;
+    over(n, a);
+    attempts_.erase(it);
+    leave_alone(a.instance);
+    Work* w = find(a.call);
+    if (!w) continue;
+    if (!sent) --w->reached, --w->may_run;
+    failed(a.call, sent, 502);
+  }
+}
+
+}  // namespace pebblespindle::lighter
--- /dev/null
+++ b/src/lighter/outbound.h
@@ -0,0 +1,108 @@
+// The half of a lighter that takes requests where they begin: finds the route, draws the service, chooses the
+// database once, and tries another only when a rule and the budget allow it. No I/O.
+#pragma once
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+#include "keel/timers.h"
+#include "lighter/budget.h"
+#include "lighter/call.h"
+#include "ordinance/chart.h"
+
+namespace pebblespindle::lighter {
+
+class OutPort {
+ public:
+  virtual ~OutPort() = default;
+  virtual void answer(CallId, Reply) = 0;
+  // To the lighter at that address; this machine's own half is one of them.
+  virtual void offer(const Endpoint&, const Json& frame) = 0;
+};
+
+class Outbound {
+ public:
+  struct Terms {
+    std::string zone, caller;  // where this is, and the service that runs on this machine
+    double retry_ratio = 0.1, retry_slack = 0;
+    Millis retry_window_ms = 10000;
+    std::uint32_t seed = 1;
+  };
+  Outbound(OutPort& port, Timers& timers, const Chart& chart, Terms terms);
+
+  void set_time(Millis now) { now_ = now; }
+  void fleet(std::size_t members) {
+    budget_.set_slack(terms_.retry_slack / double(std::max<std::size_t>(1, members)));
+  }
+  // Whether the chart is known to be the newest: what it does not name does not exist.
+  void sure(bool yes) { sure_ = yes; }
+
+  void call(CallId id, Call c);
+  void client_gone(CallId id);
+  void frame(const Endpoint& from, const Json& m);
+  // The link to a lighter has ended; `sent`: what was offered may have arrived.
+  void link_down(const Endpoint& at, bool sent);
+  std::size_t open_calls() const { return works_.size(); }
+
+ private:
+  struct Attempt {
+    CallId call = 0;
+    InstanceId instance;
+    Endpoint at;
+    Millis sent = 0;
+  };
+  struct Work {
+    Call call;
+    std::shared_ptr<const Route> route;
+    std::string service;
+    bool safe = false, hedged = false;
+    Millis began = 0, deadline = 0;
+    int reached = 0, may_run = 0;  // databases it may have come to; those of them where it may have run
+    bool counted = false;          // as a first try, for the budget
+    std::set<InstanceId> tried, full;
+    std::set<std::uint64_t> open;  // attempts without an outcome
+    Timers::Id timer = 0, hedge = 0;
+  };
+  struct Peer {  // what is known of a database
+    double told = 0;
+    int capacity = 1;
+    double ill = 0;
+    Millis told_at = -1000000, full_until = 0, away_until = 0, away_pause = 0;
+    int since = 0, flying = 0;  // own requests since it told; own requests without an outcome
+  };
+  struct Usual {  // answers of a route
+    double mean = 0, deviation = 0;
+  };
+
+  Work* find(CallId id);
+  double load(const Instance& i, const Peer& p) const;
+  const Instance* choose(const Work& w, bool full_too);
+  void next(CallId id, bool wait);
+  void send(CallId id, const Instance& i, bool wait);
+  void over(std::uint64_t attempt, Attempt& a);
+  void failed(CallId id, bool ran, int status);
+  void finish(CallId id, Reply r);
+  void refuse(CallId id);
+  bool spend(Work& w);
+  void leave_alone(const InstanceId& id);
+  void on_hedge(CallId id);
+  void told(const InstanceId& id, const Json& load);
+  std::string draw(const Route& r);
+
+  OutPort& port_;
+  Timers& timers_;
+  const Chart& chart_;
+  Terms terms_;
+  Budget budget_;
+  std::mt19937 rng_;
+  Millis now_ = 0;
+  bool sure_ = false;
+  std::map<CallId, Work> works_;
+  std::map<std::uint64_t, Attempt> attempts_;
+  std::map<InstanceId, Peer> peers_;
+  std::map<std::string, Usual> usual_;  // by route
+  std::uint64_t last_attempt_ = 0;
+};
+
+}  // namespace pebblespindle::lighter
--- /dev/null
+++ b/src/lighter/quays.h
@@ -0,0 +1,72 @@
+// The connections of a lighter to its peers and to the database beside it: sockets only, no judgement.
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+
+#include "keel/line_conn.h"
+#include "keel/loop.h"
+#include "lighter/call.h"
+
+namespace pebblespindle::lighter {
+
+// Links to other lighters: one each way, kept; frames are MessagePack.
+class Links {
+ public:
+  struct Out {
+    std::function<void(const Endpoint& from, const Json&)> answer;  // over a link this side has opened
+    std::function<void(const Endpoint&, bool sent)> down;
+    std::function<void(LinkId, const Json&)> offer;  // over a link the other side has opened
+    std::function<void(LinkId)> gone;
+  };
+  Links(Loop& loop, Out out) : loop_(loop), out_(std::move(out)) {}
+  std::string listen(const Endpoint& at);
+  void send(const Endpoint& to, const Json& frame);
+  void reply(LinkId link, const Json& frame);
+
+ private:
+  struct Peer {
+    LineConn::Ptr conn;
+    std::vector<std::string> held;  // until it is up
+    bool dialling = false;
+  };
+  void accept(asio::ip::tcp::socket socket);
+  void dial(const Endpoint& to);
+  Loop& loop_;
+  Out out_;
+  std::unique_ptr<Acceptor> acceptor_;
+  std::map<Endpoint, Peer> peers_;
+  std::map<LinkId, LineConn::Ptr> callers_;
+  LinkId last_ = 0;
+};
+
+// Connections to the database: one request at a time on each.
+class AppConns {
+ public:
+  struct Out {
+    std::function<void(ConnId)> up;
+    std::function<void(ConnId, Reply, Millis keep_ms)> reply;
+    std::function<void(ConnId, bool refused)> down;
+  };
+  AppConns(Loop& loop, std::optional<Endpoint> app, Out out)
+      : loop_(loop), app_(std::move(app)), out_(std::move(out)) {}
+  void open(ConnId id);
+  void send(ConnId id, const Call& c);
+  void close(ConnId id);
+
+ private:
+  struct Conn {
+    Conn();
+    LineConn::Ptr conn;
+    HttpReader reader;
+    bool asked = false;
+  };
+  void read(ConnId id, std::string_view bytes);
+  Loop& loop_;
+  std::optional<Endpoint> app_;
+  Out out_;
+  std::map<ConnId, std::shared_ptr<Conn>> conns_;
+  std::set<ConnId> opening_;
+};
+
+}  // namespace pebblespindle::lighter
