One count for the fleet: tenants, keys, and a bounded counter held by cores and nodes

Tenants of the configuration; a key names its tenant, an unknown one is DENIED, checked with each operation; a connection towards a database is a tenant's. Cores credit their share of each allowance while they hold their place, nodes ask theirs for rights, cores even out by half the difference.

--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -142,6 +142,16 @@
     if (once) m["once"] = true;
     feed_->send(m.dump() + "\n");
   }
+  void pay(const std::string& tenant, tally::Rights want) override {
+    if (!feed_) return;
+    feed_->send(Json{{"t", "pay"},
+                     {"s", tenant},
+                     {"me", life_},
+                     {"known", engine_.known(tenant, core_)},
+                     {"want", want}}
+                    .dump() +
+                "\n");
+  }
   void sound(const std::string& service) override {
     if (feed_) feed_->send(Json{{"t", "sound"}, {"s", service}, {"at", loop_.now()}}.dump() + "\n");
   }
@@ -275,6 +285,9 @@
       engine_.avoid({m.value("id", "")});
     } else if (t == "tight") {
       engine_.tight({m.value("id", "")});
+    } else if (t == "paid") {
+      core_ = m.value("from", "");
+      engine_.paid(m.value("s", ""), core_, m.value("sum", tally::Rights(0)));
     } else if (t == "grant") {
       engine_.hear_clock(m.value("life", std::uint64_t(0)), m.value("c", Millis(0)));
       engine_.lease(m.value("at", Millis(0)) + m.value("ms", Millis(0)) - kDriftMarginMs,
@@ -335,6 +348,9 @@
   std::map<InstanceId, Told> suspected_;
   std::set<SessionId> held_back_;
   SessionId last_session_ = 0;
+  std::string core_;  // the core that last gave rights
+  const std::string life_ =
+      std::to_string(std::uint64_t(std::random_device{}()) << 32 | std::random_device{}());
   LineConn::Ptr feed_;
   std::uint64_t told_ = 0;
   bool watching_ = false;
--- a/src/berth/engine.cc
+++ b/src/berth/engine.cc
@@ -31,6 +31,7 @@
       return drop(id);
     }
     s->host = std::string(wire::take(rest));
+    s->key = std::string(rest);
     if (sessions_.size() > std::size_t(kMaxSessions)) {
       port_.to_client(id, wire::error("CONNLIMIT", "too many sessions here"));
       return drop(id);
@@ -64,12 +65,31 @@
     port_.to_client(id, wire::error(code, text));
     return drop(id);
   }
+  s->route = chart_.route(s->host);
+  bool known = admit_key(*s);
+  s->route = nullptr;
+  if (!known) {
+    port_.to_client(id, leased() ? wire::error("DENIED", "the key is not known")
+                                 : wire::error("THROTTLED", "retry-after-ms=" + std::to_string(kNodeRenewMs) +
+                                                                " this node has no news"));
+    return drop(id);
+  }
   s->greeted = true;
   s->busy = false;
   port_.to_client(id, wire::idle('I', "-"));
   pump(*s);
 }
 
+// Who asks, as the configuration stands now; false: the route wants a key, and this one is nobody's.
+bool Engine::admit_key(Session& s) {
+  s.tenant.clear();
+  s.paid = false;
+  if (chart_.config().tenants.empty() || s.route->open_to_all) return true;
+  const Tenant* t = chart_.tenant_of(s.key);
+  if (t) s.tenant = t->name;
+  return t != nullptr;
+}
+
 // Whether a route is missing or has not been heard of: without a lease, or behind the change it names, this
 // node cannot tell, and says only that nothing was done.
 std::pair<std::string, std::string> Engine::no_route(const std::string& host) const {
@@ -155,6 +175,7 @@
       if (s.state == 'T') return fail(s, "MALFORMED", "a transaction is open");
       s.route = chart_.route(s.host);
       if (!s.route) return fail_unrouted(s);
+      if (!admit_key(s)) return fail(s, "DENIED", "the key is not known");
       s.state = 'T';
       s.tx_read_only = st.read_only;
       s.tx_touched = s.tx_wrote = s.tx_lost = false;
@@ -254,6 +275,7 @@
   if (s.state == 'I') {
     s.route = chart_.route(s.host);
     if (!s.route) return fail_unrouted(s);
+    if (!admit_key(s)) return fail(s, "DENIED", "the key is not known");
     s.tx_touched = s.tx_wrote = false;
   }
   ++routes_seen_[s.route->name].asked;
@@ -273,7 +295,43 @@
       on_deadline(sid);
     }
   });
-  attempt(sid);
+  pay(sid);
+}
+
+// An operation is counted once, with its first statement that goes to a database.
+void Engine::pay(SessionId id) {
+  Session& s = *find(id);
+  auto it = chart_.config().tenants.find(s.tenant);
+  bool limited = it != chart_.config().tenants.end() && (it->second.rate_per_s > 0 || it->second.burst > 0);
+  if (s.paid || !limited) return attempt(id);
+  auto r = purse_.take(now_, s.tenant);
+  if (r.want > 0) port_.pay(s.tenant, r.want);
+  if (r.paid) {
+    s.paid = true;
+    return attempt(id);
+  }
+  if (r.exhausted) return refuse(s, "THROTTLED", "the tenant is at its limit");
+  s.work.unpaid = s.tenant;
+  unpaid_[s.tenant].push_back(id);
+  s.work.wait = timers_.at(hold_limit(s), [this, id] {
+    if (Session* x = find(id)) {
+      x->work.wait = 0;
+      refuse(*x, "THROTTLED", "the tenant is at its limit");
+    }
+  });
+}
+
+void Engine::paid(const std::string& tenant, const tally::Holder& from, tally::Rights sum) {
+  purse_.paid(now_, tenant, from, sum);
+  auto waiting = std::exchange(unpaid_[tenant], {});
+  unpaid_.erase(tenant);
+  for (auto id : waiting) {
+    Session* s = find(id);
+    if (!s || s->work.unpaid != tenant) continue;
+    s->work.unpaid.clear();
+    timers_.cancel(s->work.wait);
+    pay(id);
+  }
 }
 
 // Forgets the statement under way: its timers, and its places in queues.
@@ -284,6 +342,7 @@
   timers_.cancel(w.wait);
   if (!w.queued_at.empty()) std::erase(pools_[w.queued_at].waiting, s.id);
   if (!w.held_for.empty()) std::erase(held_[w.held_for], s.id);
+  if (!w.unpaid.empty()) std::erase(unpaid_[w.unpaid], s.id);
   if (!w.sounding.empty()) std::erase(sounding_[w.sounding], s.id);
   s.work = Work{};
   s.busy = false;
--- a/src/berth/engine.h
+++ b/src/berth/engine.h
@@ -8,6 +8,7 @@
 #include "berth/freshness.h"
 #include "berth/lvector.h"
 #include "berth/pace.h"
+#include "berth/purse.h"
 #include "keel/timers.h"
 #include "ordinance/chart.h"
 #include "wire/wire.h"
@@ -29,9 +30,11 @@
   enum class Trouble { kOneMissed, kSilent, kRefused };
   virtual void suspect(const InstanceId&, Trouble) = 0;
   virtual void sound(const std::string& service) = 0;  // asks the core for a position of its primary
-  virtual void full(const InstanceId&) = 0;            // it takes no more connections
-  virtual void slow(const InstanceId&) = 0;            // a primary answers, but far too slowly
-  virtual void cleared(const InstanceId&) = 0;         // it answers after all
+  // Asks the core for rights to run operations of a tenant.
+  virtual void pay(const std::string& tenant, tally::Rights want) = 0;
+  virtual void full(const InstanceId&) = 0;     // it takes no more connections
+  virtual void slow(const InstanceId&) = 0;     // a primary answers, but far too slowly
+  virtual void cleared(const InstanceId&) = 0;  // it answers after all
 };
 
 class Engine {
@@ -76,6 +79,11 @@
   // The core's answer to Port::sound: asked for at `asked` or later by this node's clock; none when it knows
   // none.
   void sounded(const std::string& service, Millis asked, std::optional<Position> position);
+  // The core's answer to Port::pay.
+  void paid(const std::string& tenant, const tally::Holder& from, tally::Rights sum);
+  tally::Rights known(const std::string& tenant, const tally::Holder& core) const {
+    return purse_.known(tenant, core);
+  }
   // Closes pooled connections that have been idle for too long, and without a lease the sessions that rest.
   void shed_idle();
   // What was out of the ordinary since the last call, for the core to see; null when nothing was.
@@ -116,11 +124,14 @@
     InstanceId queued_at;  // waits for a connection to it
     std::string held_for;  // waits for the lead of this service
     std::string sounding;  // waits for a position of this service's primary
+    std::string unpaid;    // waits for rights of this tenant
     bool sounded = false;  // has waited for one
   };
   struct Session {
     SessionId id = 0;
-    std::string host;
+    std::string host, key;
+    std::string tenant;  // of the operation under way; empty: none is asked for
+    bool paid = false;   // the operation under way has been counted
     bool greeted = false, busy = false, closing = false;
     char state = 'I';
     Values values;
@@ -140,7 +151,7 @@
   struct Server {
     ConnId id = 0;
     InstanceId instance;
-    std::string service;
+    std::string service, who;  // who it was opened for: a tenant, or this node
     bool up = false, greeted = false;
     bool values_unsure = false;  // RESET before the next use
     Values values;
@@ -205,6 +216,8 @@
   void drop(SessionId id);
   void orphan(Server& c);
   void lose_transaction(Session& s);
+  bool admit_key(Session& s);
+  void pay(SessionId id);
 
   // routing
   bool leased() const { return now_ < lease_until_ && chart_.number() >= lease_number_; }
@@ -225,6 +238,8 @@
 
   // pool
   void acquire(Session& s, const InstanceId& id);
+  static const std::string& who(const Session& s);
+  void make_room(const InstanceId& id);
   void open(const InstanceId& id);
   double fair_share(const InstanceId& id) const;
   std::size_t share(const InstanceId& id) const;
@@ -267,6 +282,8 @@
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnId, Server> servers_;
   std::map<InstanceId, Pool> pools_;
+  Purse purse_;
+  std::map<std::string, std::deque<SessionId>> unpaid_;    // by tenant
   std::map<std::string, Freshness> fresh_;                 // by service
   std::map<std::string, std::deque<SessionId>> held_;      // by service
   std::map<std::string, std::deque<SessionId>> sounding_;  // by service
--- a/src/berth/engine_route.cc
+++ b/src/berth/engine_route.cc
@@ -331,28 +331,38 @@
   }
 }
 
+// Towards a database a connection is a tenant's: it serves no other.
+const std::string& Engine::who(const Session& s) {
+  static const std::string nobody = "berth";
+  return s.tenant.empty() ? nobody : s.tenant;
+}
+
 void Engine::acquire(Session& s, const InstanceId& id) {
   Pool& p = pools_[id];
   if (!p.idle.empty() && p.waiting.empty()) {
     // One that carries the session's values already saves a round trip; the newest is the warmest.
-    std::size_t best = p.idle.size() - 1;
+    std::size_t best = p.idle.size();
     for (std::size_t i = p.idle.size(); i-- > 0;) {
       Server* c = server(p.idle[i]);
-      if (c && !c->values_unsure && c->values == s.values) {
+      if (!c || c->who != who(s)) continue;
+      if (best == p.idle.size()) best = i;
+      if (!c->values_unsure && c->values == s.values) {
         best = i;
         break;
       }
     }
-    ConnId cid = p.idle[best];
-    p.idle.erase(p.idle.begin() + std::ptrdiff_t(best));
-    Server* c = server(cid);
-    c->session = s.id;
-    s.conn = cid;
-    return dispatch(s, *c);
+    if (best < p.idle.size()) {
+      ConnId cid = p.idle[best];
+      p.idle.erase(p.idle.begin() + std::ptrdiff_t(best));
+      Server* c = server(cid);
+      c->session = s.id;
+      s.conn = cid;
+      return dispatch(s, *c);
+    }
   }
   s.work.queued_at = id;
   p.waiting.push_back(s.id);
-  if (p.opening < p.waiting.size() && p.total < share(id) && now_ >= p.limit_until) open(id);
+  make_room(id);
   timers_.cancel(s.work.wait);
   s.work.wait =
       timers_.at(std::min(s.work.began + s.route->target_ms / 4, s.work.deadline), [this, sid = s.id] {
@@ -365,11 +375,24 @@
       });
 }
 
+// For those who wait a connection is opened; where there are enough, one that rests for somebody else gives
+// way.
+void Engine::make_room(const InstanceId& id) {
+  Pool& p = pools_[id];
+  if (p.opening >= p.waiting.size() || now_ < p.limit_until) return;
+  if (p.total < share(id))
+    open(id);
+  else if (!p.idle.empty() && !p.closed_off)
+    drop_server(p.idle.front(), true);  // which opens one
+}
+
 void Engine::open(const InstanceId& id) {
   const Instance* i = chart_.instance(id);
   if (!i) return;
   Pool& p = pools_[id];
   Server c;
+  const Session* first = p.opening < p.waiting.size() ? find(p.waiting[p.opening]) : nullptr;
+  c.who = first ? who(*first) : "berth";
   c.id = ++last_conn_;
   c.instance = id;
   c.service = i->service;
@@ -386,25 +409,36 @@
   Server* c = server(id);
   if (!c) return;
   c->up = true;
-  port_.to_server(id, "CONNECT " + c->service + " berth " + c->instance.value + "\r\n");
+  port_.to_server(id, "CONNECT " + c->service + " " + c->who + " " + c->instance.value + "\r\n");
 }
 
 void Engine::hand_out(const InstanceId& id) {
   Pool& p = pools_[id];
-  while (!p.idle.empty() && !p.waiting.empty()) {
-    SessionId sid = p.waiting.front();
-    p.waiting.pop_front();
+  // Those who wait take their turns, each with the newest connection that is theirs.
+  for (std::size_t turn = 0; turn < p.waiting.size() && !p.idle.empty();) {
+    SessionId sid = p.waiting[turn];
     Session* s = find(sid);
-    if (!s) continue;
+    if (!s) {
+      p.waiting.erase(p.waiting.begin() + std::ptrdiff_t(turn));
+      continue;
+    }
+    auto mine =
+        std::find_if(p.idle.rbegin(), p.idle.rend(), [&](ConnId c) { return server(c)->who == who(*s); });
+    if (mine == p.idle.rend()) {
+      ++turn;
+      continue;
+    }
+    ConnId cid = *mine;
+    p.idle.erase(std::next(mine).base());
+    p.waiting.erase(p.waiting.begin() + std::ptrdiff_t(turn));
     s->work.queued_at = {};
     timers_.cancel(s->work.wait);
-    ConnId cid = p.idle.back();
-    p.idle.pop_back();
     Server* c = server(cid);
     c->session = sid;
     s->conn = cid;
     dispatch(*s, *c);
   }
+  if (!p.waiting.empty() && !p.idle.empty()) make_room(id);
 }
 
 void Engine::give_back(Server& c) {
--- /dev/null
+++ b/src/berth/purse.h
@@ -0,0 +1,64 @@
+// A node's part in counting: the rights it holds for each tenant, and when to ask the core for more. The
+// cover check and the write to U are on the ordinary path of every operation; a refusal is given at once. No
+// I/O.
+#pragma once
+#include <cmath>
+
+#include "keel/constants.h"
+#include "keel/types.h"
+#include "tally/account.h"
+
+namespace pebblespindle::berth {
+
+class Purse {
+ public:
+  struct Outcome {
+    bool paid = false, exhausted = false;
+    tally::Rights want = 0;  // to be asked of the core now; 0: nothing
+  };
+  Outcome take(Millis now, const std::string& tenant) {
+    Held& h = held_[tenant];
+    settle(now, h);
+    h.pace = h.pace * std::exp2(-double(now - h.at) / 1000.0) + 1;
+    h.at = now;
+    Outcome o;
+    o.paid = h.account.debit(tally::kOne);
+    // Ahead of use: what is used here in a moment. Below a threshold more is asked for.
+    auto ahead = tally::Rights(double(tally::kOne) * std::max(1.0, h.pace * constants::kRightsAheadS));
+    if (!o.paid) o.exhausted = now < h.empty_until;
+    bool low = !o.paid || (h.pace > 3 && h.account.rights() < ahead / 10);
+    if (low && !o.exhausted && now >= h.asked_at + constants::kTallyAskMs) {
+      h.asked_at = now;
+      o.want = ahead + tally::kOne;
+    }
+    return o;
+  }
+  void paid(Millis now, const std::string& tenant, const tally::Holder& from, tally::Rights sum) {
+    Held& h = held_[tenant];
+    settle(now, h);
+    const tally::Rights before = h.account.got(from);
+    if (!h.account.hear(from, sum)) return;
+    h.asked_at = -1000000;
+    h.heard_at = now;
+    // Nothing more is to be had for a moment: refusals need not wait for the core.
+    if (sum <= before) h.empty_until = now + constants::kTallyAskMs;
+  }
+  tally::Rights known(const std::string& tenant, const tally::Holder& core) const {
+    auto it = held_.find(tenant);
+    return it == held_.end() ? 0 : it->second.account.got(core);
+  }
+
+ private:
+  struct Held {
+    tally::Account account;
+    Millis at = 0, asked_at = -1000000, heard_at = 0, empty_until = 0;
+    double pace = 0;  // operations of late, halved each second
+  };
+  // What was given long ago and not used is let go of: nobody could tell any more in which window it counts.
+  static void settle(Millis now, Held& h) {
+    if (now > h.heard_at + constants::kRightsLastMs) h.account.debit(h.account.rights());
+  }
+  std::map<std::string, Held> held_;
+};
+
+}  // namespace pebblespindle::berth
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -26,6 +26,7 @@
   start.losses = std::size_t(settings_.machine_losses);
   std::random_device random;
   start.life = life_ = std::uint64_t(random()) << 32 | random();
+  purser_ = std::make_unique<tally::Purser>(settings_.ip + "/" + std::to_string(life_));
   node_ = std::make_unique<chain::Node>(std::move(start), *disk_, *this, loop_.now());
   duty::Failover::Out out;
   out.holds = [this] { return node_->leads(loop_.now()); };
@@ -131,6 +132,31 @@
   failover_->tick(now);
   db_.expire();
   tell_peers(false);
+  keep_tally();
+}
+
+// Allowances grow while this core has its place; the cores tell each other what they hold, and even it out.
+void Harbourmaster::keep_tally() {
+  Millis now = loop_.now();
+  chart_.follow(node_->ledger());
+  if (chart_.config().tenants.empty()) return;
+  purser_->pass(now, chart_.config().tenants, may_grant() ? node_->view().members.size() : 0);
+  if (now >= sums_at_ + kTallySyncMs) {
+    sums_at_ = now;
+    if (Json sums = purser_->sums(); !sums.is_null())
+      for (auto& [host, p] : peers_) send(host, {{"t", "sums"}, {"me", purser_->self()}, {"l", sums}});
+  }
+  for (auto& a : purser_->shortages(now))
+    if (auto host = purser_hosts_.find(a.peer); host != purser_hosts_.end())
+      send(host->second,
+           {{"t", "pay"}, {"s", a.tenant}, {"me", purser_->self()}, {"known", a.known}, {"want", a.want}});
+}
+
+void Harbourmaster::on_pay(const Json& m, const std::function<void(const Json&)>& answer) {
+  const std::string tenant = m.value("s", "");
+  auto sum = purser_->ask(tenant, m.value("me", ""), m.value("known", tally::Rights(0)),
+                          m.value("want", tally::Rights(0)));
+  if (sum) answer({{"t", "paid"}, {"s", tenant}, {"from", purser_->self()}, {"sum", *sum}});
 }
 
 // --- links to the other cores and to tenders ---------------------------------
@@ -218,6 +244,13 @@
     failover_->tick(now);
   } else if (t == "sus") {
     on_suspect(m);
+  } else if (t == "sums") {
+    purser_hosts_[m.value("me", "")] = chain::host_of(from);
+    purser_->heard(m.value("me", ""), now, m.value("l", Json()));
+  } else if (t == "pay") {
+    on_pay(m, [&](const Json& a) { send(chain::host_of(from), a); });
+  } else if (t == "paid") {
+    purser_->paid(m.value("s", ""), m.value("from", ""), m.value("sum", tally::Rights(0)));
   } else if (t == "tight") {
     InstanceId id{m.value("id", "")};
     tight_[id] = now;
@@ -307,6 +340,8 @@
   } else if (kind == "sight") {
     if (!lookout_.report(now, t->zone, t->node, m))
       log_.say("A report of " + t->node + " has figures that cannot be; it is dropped.");
+  } else if (kind == "pay") {
+    on_pay(m, [&](const Json& a) { t->conn->send(a.dump() + "\n"); });
   } else if (kind == "beat" || kind == "leave") {
     on_relayed_beat(t, m);
   } else if (kind == "bye") {
--- a/src/harbourmaster/harbourmaster.h
+++ b/src/harbourmaster/harbourmaster.h
@@ -16,6 +16,7 @@
 #include "ordinance/delivery.h"
 #include "roster/roster.h"
 #include "roster/soundings.h"
+#include "tally/purser.h"
 
 namespace pebblespindle {
 
@@ -76,6 +77,8 @@
   bool all_acknowledged(std::uint64_t number) const;
   void on_suspect(const Json& report);
   void on_relayed_beat(const std::shared_ptr<Tender>& t, const Json& m);
+  void on_pay(const Json& m, const std::function<void(const Json&)>& answer);
+  void keep_tally();
   void on_soundings(const Tender& t, const Json& met);
 
   Log log_{"harbourmaster"};
@@ -92,6 +95,9 @@
   std::map<std::shared_ptr<Tender>, bool> tenders_;
   std::unique_ptr<Acceptor> inner_;
   std::unique_ptr<HttpServer> control_;
+  std::unique_ptr<tally::Purser> purser_;
+  std::map<std::string, std::string> purser_hosts_;  // by holder: the core it is at
+  Millis sums_at_ = 0;
   Delivery::News news_;
   std::map<InstanceId, Millis> tight_;  // databases that turned connections away, and since when
   Lookout lookout_{[this](const std::string& s) { note(s); },
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -163,7 +163,8 @@
 constexpr int kBusyTries = 4;           // full databases met before a request waits at one of them
 constexpr std::size_t kLooked = 4;      // databases compared in a zone; more would send all to the same
 constexpr double kIllCost = 6.0;        // of the slots; what a database that always fails costs more
-constexpr double kWaitShare = 0.5;      // of the aim; a request that has not begun to run by then is refused
+constexpr std::int64_t kRankMs = 60;    // ms; a rank below another counts as an aim that ends this much later
+constexpr double kWaitShare = 0.7;      // of the aim; a request that has not begun to run by then is refused
 constexpr std::int64_t kHedgeLeastMs = 40;  // ms; no second database is asked sooner
 constexpr double kHedgeSpread = 4.0;        // mean deviations over the mean answer before one is missed
 constexpr double kHedgeAimShare = 0.6;  // of the aim; before any answer is known, one is missed after this
@@ -172,6 +173,8 @@
 constexpr double kIllLearn = 0.1;           // weight of one result; the last twenty count
 constexpr std::int64_t kDownTrialMs = 250;  // ms; a database that is down is tried again
 constexpr int kDownSilent = 3;              // requests in a row without an answer: it is down
+constexpr int kDownFailed =
+    6;  // failures in a row: one that fails two of five is seldom taken for one that is down
 constexpr std::int64_t kAppConnectMs =
     500;                            // ms; on this machine; the database counts this as part of its slots
 constexpr double kIdleShare = 0.7;  // of the idle time at which a connection was found dead: others are used
@@ -182,4 +185,15 @@
 constexpr std::int64_t kAgainMs = 80;  // ms; a refused client comes back after about half a request's work
 constexpr std::int64_t kBeatAnswerMs = 900;  // ms; callers count a second of silence as a failure
 
+// --- counting ---------------------------------------------------------------
+constexpr std::int64_t kTallySyncMs = 1000;   // ms; how often cores tell each other what they hold
+constexpr std::int64_t kTallyAskMs = 50;      // ms; many round trips: then it is asked again
+constexpr std::int64_t kTallyStepMost = 200;  // ms; one that stood still longer credits no more than this
+constexpr double kTallyPile = 0.6;  // of the burst: what may pile up at the cores; the rest is with the nodes
+constexpr double kTallyLeast =
+    3;  // operations; a core's share of the smallest allowance is worth asking for
+constexpr double kTallyThreshold = 0.1;       // of a core's share: below it another core is asked
+constexpr std::int64_t kRightsLastMs = 1500;  // ms; what a node holds and does not use lapses
+constexpr double kRightsAheadS = 0.3;         // s; of its own use that a node asks for at once
+
 }  // namespace pebblespindle::constants
--- a/src/lighter/inbound.cc
+++ b/src/lighter/inbound.cc
@@ -19,7 +19,7 @@
   for (auto id : idle) drop_server(id);
   if (here_) return pump();
   for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
-    auto id = std::get<2>(r);
+    auto id = std::get<1>(r);
     say_not_run(jobs_[id], "gone", false);
     end_job(id);
   }
@@ -65,7 +65,8 @@
   j.began = now_;
   j.deadline = now_ + left;
   j.until = now_ + wait;
-  j.priority = m.value("p", 1);
+  // The aim that ends first goes first; a rank is worth a little of it.
+  j.due = now_ + m.value("a", left) + m.value("p", 1) * kRankMs;
   j.safe = m.value("s", false);
   j.caller = m.value("c", "");
   std::uint64_t id = ++last_job_;
@@ -89,7 +90,7 @@
 
 void Inbound::pump() {
   while (here_ && !queue_.empty() && running_ < std::size_t(std::max(1, here_->capacity))) {
-    auto id = std::get<2>(*queue_.begin());
+    auto id = std::get<1>(*queue_.begin());
     queue_.erase(queue_.begin());
     timers_.cancel(jobs_[id].timer);
     start(id);
@@ -123,7 +124,7 @@
     jobs_[id].timer = 0;
     on_deadline(id);
   });
-  if (ConnId c = idle_server(j.safe)) return run_on(id, c);
+  if (ConnId c = j.again ? 0 : idle_server(j.safe)) return run_on(id, c);
   ConnId c = ++last_conn_;
   Server& s = servers_[c];
   s.job = id;
@@ -148,6 +149,8 @@
   Server& s = servers_[conn];
   s.job = id;
   j.conn = conn;
+  j.sent = now_;
+  j.rested = s.used ? now_ - s.idle_since : 0;
   Call c = j.call;
   set_field(c.fields, kDeadlineField,
             std::to_string(std::max<Millis>(1, j.deadline - now_ - kDeadlineWayMs)));
@@ -175,6 +178,8 @@
   met(!broken && (r.status < 500 || not_run), false);
   double took = double(now_ - j.began);
   if (r.status < 500) mean_ = mean_ == 0 ? took : mean_ + (took - mean_) * kIllLearn;
+  // One that has rested longer than is trusted works all the same: others are trusted as long.
+  if (s.used && !broken) idle_most_ = std::max(idle_most_, j.rested);
   const bool keep = keep_ms >= 0 && s.keep_ms >= 0 && !broken;
   s.job = 0;
   s.used = true;
@@ -198,6 +203,10 @@
   pump();
 }
 
+void Inbound::distrust(Millis rested) {
+  idle_most_ = std::max(kIdleLeastMs, std::min(idle_most_, Millis(double(rested) * kIdleShare)));
+}
+
 void Inbound::server_down(ConnId id, bool refused) {
   auto it = servers_.find(id);
   if (it == servers_.end()) return;
@@ -205,8 +214,7 @@
   drop_server(id);
   if (s.job == 0) {
     // It was closed while it rested: the database keeps them no longer than that.
-    Millis age = now_ - s.idle_since;
-    if (s.used && age > kIdleLeastMs) idle_most_ = std::min(idle_most_, Millis(double(age) * kIdleShare));
+    if (s.used) distrust(now_ - s.idle_since);
     return;
   }
   Job& j = jobs_[s.job];
@@ -216,22 +224,15 @@
     if (refused || ++silent_ >= kDownSilent) set_down();
     met(false, false);
     say_not_run(j, "down", false);
-  } else if (s.used && j.safe && !j.again) {
-    // A connection that had been used before may have been closed as the request was sent: once more, at the
-    // same database, over a new one.
-    Millis age = now_ - s.idle_since;
-    if (now_ - j.began < kIdleLeastMs)
-      idle_most_ = std::max(kIdleLeastMs, std::min(idle_most_, Millis(double(age) * kIdleShare)));
-    j.again = true;
-    std::uint64_t job = s.job;
-    j.conn = 0;
-    if (here_) return admit(job);
-    say_fail(j, true);
   } else {
-    if (s.used && now_ - j.began < kIdleLeastMs)
-      idle_most_ =
-          std::max(kIdleLeastMs, std::min(idle_most_, Millis(double(now_ - s.idle_since) * kIdleShare)));
-    met(false, false);
+    // A connection that had rested and ends as soon as it is used was dead before: so may be others as old.
+    bool stale = s.used && now_ - j.sent < kIdleLeastMs;
+    if (stale) distrust(j.rested);
+    if (stale && j.safe && !j.again && here_) {  // once more, at the same database, over a new one
+      j.again = true;
+      return admit(s.job);
+    }
+    if (!stale) met(false, false);
     say_fail(j, true);
   }
   end_job(s.job);
@@ -271,12 +272,13 @@
 // Each result at the database counts: it alone is asked through here.
 void Inbound::met(bool good, bool silent) {
   ill_ += ((good ? 0.0 : 1.0) - ill_) * kIllLearn;
+  failed_ = good ? 0 : failed_ + 1;
   if (good) {
     silent_ = 0;
     down_ = trial_ = false;
   } else if (silent && ++silent_ >= kDownSilent) {
     set_down();
-  } else if (trial_) {
+  } else if (trial_ || failed_ >= kDownFailed) {
     set_down();
   }
 }
@@ -287,7 +289,7 @@
   trial_ = false;
   trial_at_ = now_ + kDownTrialMs;
   for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
-    auto id = std::get<2>(r);
+    auto id = std::get<1>(r);
     say_not_run(jobs_[id], "down", false);
     end_job(id);
   }
--- a/src/lighter/inbound.h
+++ b/src/lighter/inbound.h
@@ -46,8 +46,8 @@
     LinkId link = 0;
     std::uint64_t n = 0;
     Call call;
-    Millis began = 0, deadline = 0, until = 0;
-    int priority = 0;
+    Millis began = 0, deadline = 0, until = 0, sent = 0, rested = 0;
+    Millis due = 0;
     bool safe = false, wanted = true, again = false;
     std::string caller;
     ConnId conn = 0;
@@ -59,8 +59,8 @@
     Millis idle_since = 0, keep_ms = 0;
     Timers::Id timer = 0;
   };
-  using Rank = std::tuple<int, Millis, std::uint64_t>;  // priority, deadline, job
-  static Rank rank(std::uint64_t id, const Job& j) { return {j.priority, j.deadline, id}; }
+  using Rank = std::pair<Millis, std::uint64_t>;  // when it is due, job
+  static Rank rank(std::uint64_t id, const Job& j) { return {j.due, id}; }
 
   Json load() const;
   void say_no(LinkId link, std::uint64_t n, const char* why, bool waited);
@@ -73,6 +73,7 @@
   void on_deadline(std::uint64_t id);
   void end_job(std::uint64_t id);
   void drop_server(ConnId id);
+  void distrust(Millis rested);
   void met(bool good, bool silent);
   void set_down();
   ConnId idle_server(bool safe);
@@ -87,8 +88,8 @@
   std::size_t running_ = 0;
   std::uint64_t last_job_ = 0;
   ConnId last_conn_ = 0;
-  double ill_ = 0, mean_ = 0;  // share of results that were failures; how long a request takes, ms
-  int silent_ = 0;
+  double ill_ = 0, mean_ = 0;    // share of results that were failures; how long a request takes, ms
+  int silent_ = 0, failed_ = 0;  // in a row
   bool down_ = false, trial_ = false;
   Millis trial_at_ = 0, idle_most_ = constants::kIdleUnknownMs;
 };
--- a/src/lighter/outbound.cc
+++ b/src/lighter/outbound.cc
@@ -57,7 +57,7 @@
   w.began = now_;
   Millis left = route->timeout_ms;
   if (auto told = millis_of(find_field(c.fields, kDeadlineField))) left = std::min(left, *told);
-  w.deadline = now_ + left;
+  w.deadline = now_ + std::max<Millis>(1, left - kDeadlineWayMs);
   w.call = std::move(c);
   w.timer = timers_.at(w.deadline, [this, id] {
     Work* x = find(id);
@@ -118,6 +118,10 @@
   return best;
 }
 
+Millis Outbound::wait_until(const Work& w) const {
+  return std::min(w.deadline, w.began + Millis(double(w.route->target_ms) * kWaitShare));
+}
+
 void Outbound::next(CallId id, bool wait) {
   Work* w = find(id);
   if (!w) return;
@@ -127,6 +131,7 @@
     wait = true;
     i = choose(*w, true);
   }
+  if (wait && now_ >= wait_until(*w)) i = nullptr;  // it has waited as long as it may
   if (!i) {
     if (w->open.empty()) refuse(id);
     return;
@@ -145,7 +150,6 @@
   attempts_[n] = {id, i.id, i.address, now_};
   w.open.insert(n);
   w.tried.insert(i.id);
-  Millis until = std::min(w.deadline, w.began + Millis(double(w.route->target_ms) * kWaitShare));
   Json m{{"t", "q"},
          {"n", n},
          {"i", i.id.value},
@@ -154,7 +158,8 @@
          {"h", fields_json(w.call.fields)},
          {"b", w.call.body},
          {"d", w.deadline - now_},
-         {"w", wait ? std::max<Millis>(0, until - now_) : 0},
+         {"w", wait ? wait_until(w) - now_ : 0},
+         {"a", w.began + w.route->target_ms - now_},
          {"p", w.route->priority},
          {"s", w.safe},
          {"c", terms_.caller}};
--- a/src/lighter/outbound.h
+++ b/src/lighter/outbound.h
@@ -78,6 +78,7 @@
   Work* find(CallId id);
   double load(const Instance& i, const Peer& p) const;
   const Instance* choose(const Work& w, bool full_too);
+  Millis wait_until(const Work& w) const;
   void next(CallId id, bool wait);
   void send(CallId id, const Instance& i, bool wait);
   void over(std::uint64_t attempt, Attempt& a);
--- a/src/ordinance/chart.cc
+++ b/src/ordinance/chart.cc
@@ -8,7 +8,7 @@
   if (number <= number_) return false;
   std::uint64_t before = number_;
   number_ = number;
-  bool moved = false;
+  bool moved = false, keys = false;
   auto take_route = [this](const std::string& place, std::optional<Route> route) {
     if (route)
       routes_[place] = std::make_shared<const Route>(std::move(*route));
@@ -17,6 +17,7 @@
   };
   for (auto& r : rows) {
     if (r.number <= before) continue;
+    keys = keys || r.key.starts_with(kTenantPrefix);
     if (enter_part(config_, r.key, r.gone ? nullptr : &r.value, take_route)) continue;
     if (r.key.starts_with("i/")) {
       InstanceId id{r.key.substr(2)};
@@ -35,6 +36,7 @@
     }
   }
   if (moved) index();
+  if (keys) index_keys();
   return true;
 }
 
@@ -46,6 +48,7 @@
   };
   for (auto& [place, r] : routes_) unless_named(kRoutePrefix + place);
   for (auto& [name, s] : config_.services) unless_named(kServicePrefix + name);
+  for (auto& [name, t] : config_.tenants) unless_named(kTenantPrefix + name);
   for (auto& [id, i] : instances_) unless_named(instance_key(id));
   for (auto& [service, l] : leads_) unless_named(lead_key(service));
   return whole;
@@ -66,6 +69,17 @@
   for (auto& [id, i] : instances_) by_service_[i.service].push_back(&i);
 }
 
+void Chart::index_keys() {
+  tenants_by_key_.clear();
+  for (auto& [name, t] : config_.tenants)
+    for (auto& k : t.keys) tenants_by_key_[k] = name;
+}
+
+const Tenant* Chart::tenant_of(const std::string& key) const {
+  auto it = tenants_by_key_.find(key);
+  return it == tenants_by_key_.end() ? nullptr : &config_.tenants.at(it->second);
+}
+
 std::shared_ptr<const Route> Chart::route(const std::string& host) const {
   return route(host, "/");
 }
--- a/src/ordinance/chart.h
+++ b/src/ordinance/chart.h
@@ -24,6 +24,8 @@
   std::shared_ptr<const Route> route(const std::string& host) const;
   // The route of that host whose prefix is the longest to begin the path.
   std::shared_ptr<const Route> route(const std::string& host, std::string_view path) const;
+  // The tenant that holds a key; null when none does.
+  const Tenant* tenant_of(const std::string& key) const;
   const std::map<InstanceId, Instance>& instances() const { return instances_; }
   const Instance* instance(const InstanceId& id) const;
   const std::vector<const Instance*>& of(const std::string& service) const;
@@ -32,12 +34,14 @@
 
  private:
   void index();
+  void index_keys();
   std::uint64_t number_ = 0, changes_ = 0, lives_ = 0;
   Configuration config_;
   std::map<std::string, std::shared_ptr<const Route>> routes_;  // by place
   std::map<InstanceId, Instance> instances_;
   std::map<std::string, std::vector<const Instance*>> by_service_;
   std::map<std::string, Lead> leads_;
+  std::map<std::string, std::string> tenants_by_key_;
 };
 
 }  // namespace pebblespindle
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -47,7 +47,7 @@
   if (taken.size() > constants::kTakenKept) taken.erase(taken.begin());
   Verdict v{200, {}, {{kConfigKey, body, 0, false}, {kTakenKey, taken.dump(), 0, false}}};
   auto parts = configuration_parts(*next.value);
-  for (auto& prefix : {kServicePrefix, kRoutePrefix})
+  for (auto& prefix : {kServicePrefix, kRoutePrefix, kTenantPrefix})
     ledger.each(prefix, [&](const Row& r) {
       if (!parts.count(r.key)) v.rows.push_back({r.key, {}, 0, true});
     });
--- a/src/ordinance/records.cc
+++ b/src/ordinance/records.cc
@@ -20,7 +20,8 @@
           "Name": {"type": "string"},
           "Hostname": {"type": "string", "minLength": 1},
           "PathPrefix": {"type": "string"},
-          "RouteType": {"enum": ["primary", "bounded", "read_your_writes", "idempotent", "non_idempotent"]},
+          "Public": {"type": "boolean"},
+          "RouteType": {"enum": ["primary", "bounded", "bounded_staleness", "read_your_writes", "idempotent", "non_idempotent"]},
           "WeightedTargets": {"type": "array", "minItems": 1, "items": {
             "type": "object",
             "required": ["TargetService", "Weight"],
@@ -31,7 +32,8 @@
           "Priority": {"type": "integer"},
           "TargetService": {"type": "string"},
           "MaxAttempts": {"type": "integer", "minimum": 0},
-          "stale_ms": {"type": "number", "minimum": 0}
+          "stale_ms": {"type": "number", "minimum": 0},
+          "MaxStalenessMs": {"type": "number", "minimum": 0}
         }}},
       "Services": {"type": "array", "items": {
         "type": "object",
@@ -41,6 +43,16 @@
           "MaxConnections": {"type": "integer", "minimum": 1},
           "SyncReplicas": {"type": "integer", "minimum": 0}
         }}},
+      "Tenants": {"type": "array", "items": {
+        "type": "object",
+        "required": ["Name", "ApiKeys"],
+        "properties": {
+          "Name": {"type": "string", "minLength": 1, "maxLength": 256},
+          "ApiKeys": {"type": "array", "items": {"type": "string", "minLength": 1, "maxLength": 256}},
+          "RatePerS": {"type": "number", "minimum": 0, "maximum": 1000000000},
+          "BurstLimit": {"type": "number", "minimum": 0, "maximum": 1000000000},
+          "Priority": {"type": "integer"}
+        }}},
       "Limits": {"type": "object", "properties": {
         "TransactionIdleMs": {"type": "number", "minimum": 0},
         "HeaderTimeoutMs": {"type": "number", "minimum": 0},
@@ -112,7 +124,7 @@
 
 RouteType type_of(const std::string& word) {
   if (word == "primary") return RouteType::kPrimary;
-  if (word == "bounded") return RouteType::kBounded;
+  if (word == "bounded" || word == "bounded_staleness") return RouteType::kBounded;
   if (word == "read_your_writes") return RouteType::kReadYourWrites;
   return word == "idempotent" ? RouteType::kIdempotent : RouteType::kNonIdempotent;
 }
@@ -124,7 +136,8 @@
   route.type = type_of(r["RouteType"]);
   route.timeout_ms = millis(r, "TimeoutMs", 0);
   route.target_ms = millis(r, "TargetLatencyMs", 100);
-  route.stale_ms = millis(r, "stale_ms", 0);
+  route.stale_ms = millis(r, "stale_ms", millis(r, "MaxStalenessMs", 0));
+  route.open_to_all = r.value("Public", false);
   route.priority = r.value("Priority", 1);
   route.max_attempts = std::max(1, r.value("MaxAttempts", 1));
   route.prefix = r.value("PathPrefix", "/");
@@ -172,6 +185,15 @@
     if (!c.routes.emplace(route.place(), route).second)
       return Out::fail("two routes share the place of route " + route.name);
   }
+  std::set<std::string> keys;
+  for (auto& t : j.value("Tenants", Json::array())) {
+    Tenant tenant{t["Name"], t["ApiKeys"], t.value("RatePerS", 0.0), t.value("BurstLimit", 0.0),
+                  t.value("Priority", 1)};
+    for (auto& k : tenant.keys)
+      if (!keys.insert(k).second) return Out::fail("a key of " + tenant.name + " is held twice");
+    if (!c.tenants.emplace(tenant.name, tenant).second)
+      return Out::fail("two tenants are named " + tenant.name);
+  }
   if (j.contains("Limits")) {
     const Json& l = j["Limits"];
     c.limits.transaction_idle_ms = millis(l, "TransactionIdleMs", c.limits.transaction_idle_ms);
@@ -228,17 +250,29 @@
   for (auto& [place, r] : c.routes) {
     Json j = Json::array(
         {r.service, int(r.type), r.timeout_ms, r.target_ms, r.stale_ms, r.priority, r.max_attempts, r.name});
-    if (!r.split.empty()) j.push_back(r.split);
+    if (!r.split.empty() || r.open_to_all) j.push_back(r.split);
+    if (r.open_to_all) j.push_back(true);
     parts[kRoutePrefix + place] = j.dump();
   }
+  for (auto& [name, t] : c.tenants)
+    parts[kTenantPrefix + name] = Json::array({t.rate_per_s, t.burst, t.priority, t.keys}).dump();
   return parts;
 }
 
 bool enter_part(Configuration& c, const std::string& key, const std::string* value,
                 const std::function<void(const std::string&, std::optional<Route>)>& route) {
   bool service = key.starts_with(kServicePrefix), is_route = key.starts_with(kRoutePrefix);
-  if (!service && !is_route && key != kConfigHeadKey) return false;
+  bool tenant = key.starts_with(kTenantPrefix);
+  if (!service && !is_route && !tenant && key != kConfigHeadKey) return false;
   Json j = value ? Json::parse(*value, nullptr, false) : Json();
+  if (tenant) {
+    const std::string who = key.substr(kTenantPrefix.size());
+    if (value)
+      c.tenants[who] = {who, j.at(3), j.at(0), j.at(1), j.at(2)};
+    else
+      c.tenants.erase(who);
+    return true;
+  }
   const std::string name = key.substr(service || is_route ? 2 : 0);
   if (service) {
     if (value)
@@ -253,12 +287,15 @@
     c.limits = {j.at(1), j.at(2), j.at(3), j.at(4), j.at(5)};
   } else if (value) {
     auto slash = std::min(name.find('/'), name.size());
-    Route r{j.at(7), name.substr(0, slash),
-            j.at(0), RouteType(j.at(1).get<int>()),
-            j.at(2), j.at(3),
-            j.at(4), j.at(5),
-            j.at(6), slash < name.size() ? name.substr(slash) : "/",
-            {}};
+    Route r;
+    r.name = j.at(7);
+    r.hostname = name.substr(0, slash);
+    r.service = j.at(0);
+    r.type = RouteType(j.at(1).get<int>());
+    r.timeout_ms = j.at(2), r.target_ms = j.at(3), r.stale_ms = j.at(4);
+    r.priority = j.at(5), r.max_attempts = j.at(6);
+    if (slash < name.size()) r.prefix = name.substr(slash);
+    if (j.size() > 9) r.open_to_all = j.at(9);
     if (j.size() > 8) r.split = j.at(8).get<decltype(r.split)>();
     std::string place = r.place();
     route(place, std::move(r));
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -18,6 +18,7 @@
   RouteType type = RouteType::kPrimary;
   Millis timeout_ms = 1000, target_ms = 100, stale_ms = 0;
   int priority = 1, max_attempts = 2;
+  bool open_to_all = false;                        // needs no tenant's key
   std::string prefix = "/";                        // starts and ends with a slash
   std::vector<std::pair<std::string, int>> split;  // services with their weights; empty: `service` alone
   std::string place() const { return hostname + prefix; }
@@ -29,6 +30,13 @@
   int sync_replicas = 0;
 };
 
+struct Tenant {
+  std::string name;
+  std::vector<std::string> keys;
+  double rate_per_s = 0, burst = 0;  // operations, over all nodes; both 0: no limit
+  int priority = 1;
+};
+
 // What a client may send, and how long it may take or rest.
 struct Limits {
   Millis transaction_idle_ms = 3000, header_ms = 3000, idle_ms = 15000;
@@ -39,6 +47,7 @@
   std::uint64_t revision = 0;
   std::map<std::string, Route> routes;  // by place; a chart keeps its own
   std::map<std::string, ServiceSpec> services;
+  std::map<std::string, Tenant> tenants;
   Limits limits;
 };
 
@@ -76,7 +85,7 @@
 // nodes are told what a change has changed: a head, a row a service and a row a route.
 // Beside it stands a list of those taken of late.
 inline const std::string kConfigKey = "c", kTakenKey = "t", kConfigHeadKey = "h", kServicePrefix = "v/",
-                         kRoutePrefix = "r/";
+                         kRoutePrefix = "r/", kTenantPrefix = "k/";
 std::map<std::string, std::string> configuration_parts(const Configuration& c);  // values by key
 // Enters a part into a configuration; routes are handed out. False: not a part of one.
 bool enter_part(Configuration& c, const std::string& key, const std::string* value,
--- /dev/null
+++ b/src/tally/account.h
@@ -0,0 +1,60 @@
+// One holder's part in the bounded counter of one tenant (Balegas et al., "Extending Eventually Consistent
+// Cloud Databases for Enforcing Numeric Invariants"): its own row of R, its entry of U, and its column of R.
+// Rights are counted in thousandths of an operation. Only the holder writes its row; what others gave is
+// merged by maximum, so that messages may be lost, repeated or overtake each other.
+#pragma once
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace pebblespindle::tally {
+
+using Holder = std::string;    // of one life of one process: a row is never continued by another life
+using Rights = std::int64_t;   // thousandths of an operation
+constexpr Rights kOne = 1000;  // one operation
+
+class Account {
+ public:
+  Rights rights() const {
+    Rights r = credited_ - used_;
+    for (auto& [from, n] : got_) r += n;
+    for (auto& [to, n] : given_) r -= n;
+    return r;
+  }
+  void credit(Rights n) { credited_ += std::max<Rights>(0, n); }  // R[i][i]
+  // U[i]; only when covered.
+  bool debit(Rights n) {
+    if (n < 0 || rights() < n) return false;
+    used_ += n;
+    return true;
+  }
+  // R[i][to], as it stands after giving; only what is covered is given.
+  Rights give(const Holder& to, Rights n) {
+    Rights& sum = given_[to];
+    if (n > 0 && rights() >= n) sum += n;
+    return sum;
+  }
+  Rights given(const Holder& to) const {
+    auto it = given_.find(to);
+    return it == given_.end() ? 0 : it->second;
+  }
+  // R[from][i] as its writer tells it. False: it cannot be.
+  bool hear(const Holder& from, Rights sum) {
+    if (sum < 0) return false;
+    Rights& known = got_[from];
+    known = std::max(known, sum);
+    return true;
+  }
+  Rights got(const Holder& from) const {
+    auto it = got_.find(from);
+    return it == got_.end() ? 0 : it->second;
+  }
+  Rights used() const { return used_; }
+
+ private:
+  Rights credited_ = 0, used_ = 0;
+  std::map<Holder, Rights> given_, got_;
+};
+
+}  // namespace pebblespindle::tally
--- /dev/null
+++ b/src/tally/purser.h
@@ -0,0 +1,56 @@
+// A core's part in counting: it credits its share of each tenant's allowance while it holds its place in the
+// view, hands rights to the nodes that ask, and evens out with the other cores. No I/O.
+#pragma once
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "keel/schema.h"
+#include "ordinance/records.h"
+#include "tally/account.h"
+
+namespace pebblespindle::tally {
+
+class Purser {
+ public:
+  explicit Purser(Holder self) : self_(std::move(self)) {}
+  const Holder& self() const { return self_; }
+
+  // Time passes. `cores`: that share every allowance now; 0: this one has no place, and credits nothing.
+  void pass(Millis now, const std::map<std::string, Tenant>& tenants, std::size_t cores);
+  // A holder asks for rights; `known` is what it knows of R[here][it]. The new sum; none for an unknown
+  // tenant.
+  std::optional<Rights> ask(const std::string& tenant, const Holder& who, Rights known, Rights want);
+  bool paid(const std::string& tenant, const Holder& from, Rights sum);
+
+  // What each tenant with a limit has here, for the other cores; null when there is nothing to say.
+  Json sums() const;
+  void heard(const Holder& peer, Millis now, const Json& sums);
+  struct Ask {
+    Holder peer;
+    std::string tenant;
+    Rights known = 0, want = 0;
+  };
+  // Where this core is short of rights that another has: half the difference.
+  std::vector<Ask> shortages(Millis now);
+  Rights rights(const std::string& tenant) const;
+
+ private:
+  struct Store {
+    Account account;
+    Rights most = 0;
+    Millis asked_at = -1000000;
+    bool in_use = false;
+  };
+  struct Peer {
+    Millis at = 0;
+    std::map<std::string, Rights> sums;
+  };
+  Holder self_;
+  Millis last_ = -1;
+  std::map<std::string, Store> stores_;
+  std::map<Holder, Peer> peers_;
+};
+
+}  // namespace pebblespindle::tally
--- a/src/tender/tender.cc
+++ b/src/tender/tender.cc
@@ -210,7 +210,7 @@
       auto taken = hold_.take(m, line);
       if (taken.got) core_->send("{\"t\":\"got\"}\n");
       if (berth_ && !taken.hand_on.empty()) berth_->send(taken.hand_on);
-    } else if (t == "grant" || t == "tight" || t == "avoid" || t == "depth" || t == "beaten") {
+    } else if (t == "grant" || t == "tight" || t == "avoid" || t == "depth" || t == "beaten" || t == "paid") {
       if (berth_) berth_->send(std::string(line) + "\n");
     }
   }
--- a/tests/engine_small_test.cc
+++ b/tests/engine_small_test.cc
@@ -106,6 +106,7 @@
   void close_server(ConnId id, bool) override { lines[id].open = false; }
   void suspect(const InstanceId&, Trouble) override {}
   void full(const InstanceId&) override {}
+  void pay(const std::string&, tally::Rights) override {}
   void sound(const std::string& service) override { asked_depth.push_back(service); }
   void slow(const InstanceId&) override {}
   void cleared(const InstanceId&) override {}
--- a/tests/engine_world.h
+++ b/tests/engine_world.h
@@ -211,6 +211,7 @@
   void suspect(const InstanceId&, Trouble) override {}
   void cleared(const InstanceId&) override {}
   void full(const InstanceId&) override {}
+  void pay(const std::string&, tally::Rights) override {}
   void sound(const std::string&) override {}
   void slow(const InstanceId&) override {}
   void to_server(ConnId id, std::string bytes) override {
