--- a/src/berth/berth.cc
+++ b/src/berth/berth.cc
@@ -5,6 +5,7 @@
 
 #include "berth/engine.h"
 #include "keel/constants.h"
+#include "keel/feed_link.h"
 #include "keel/http.h"
 #include "keel/line_conn.h"
 #include "keel/log.h"
@@ -61,9 +62,9 @@
     loop_.every(kSightMs, [this] {
       touch();
       Json sights = engine_.take_sights();
-      if (feed_ && !sights.is_null()) feed_->send(sights.dump() + "\n");
+      if (!sights.is_null()) feed_.send(sights);
     });
-    connect_feed();
+    feed_.start();
     loop_.run();
     return 0;
   }
@@ -121,13 +122,11 @@
     if (told == suspected_.end()) return;
     if (!told->second.once) log_.say("Database " + id.value + " answers again.");
     suspected_.erase(told);
-    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}}.dump() + "\n");
-  }
-  void full(const InstanceId& id) override {
-    if (feed_) feed_->send(Json{{"t", "full"}, {"id", id.value}}.dump() + "\n");
+    feed_.send(Json{{"t", "sus"}, {"id", id.value}, {"ok", true}});
   }
+  void full(const InstanceId& id) override { feed_.send(Json{{"t", "full"}, {"id", id.value}}); }
   void slow(const InstanceId& id) override {
-    if (feed_) feed_->send(Json{{"t", "sus"}, {"id", id.value}, {"slow", true}}.dump() + "\n");
+    feed_.send(Json{{"t", "sus"}, {"id", id.value}, {"slow", true}});
   }
   void suspect(const InstanceId& id, Trouble trouble) override {
     Millis now = loop_.now();
@@ -137,23 +136,18 @@
     if (!once && (last.at == 0 || last.once))
       log_.say("Database " + id.value + (refused ? " refuses connections." : " gives no answers."));
     last = {now, once};
-    if (!feed_) return;
+    if (!feed_.up()) return;
     Json m{{"t", "sus"}, {"id", id.value}, {"r", refused}};
     if (once) m["once"] = true;
-    feed_->send(m.dump() + "\n");
+    feed_.send(m);
   }
   void pay(const std::string& tenant, tally::Rights want) override {
-    if (!feed_) return;
-    feed_->send(Json{{"t", "pay"},
-                     {"s", tenant},
-                     {"me", life_},
-                     {"known", engine_.known(tenant, core_)},
-                     {"want", want}}
-                    .dump() +
-                "\n");
+    if (!feed_.up()) return;
+    feed_.send(Json{
+        {"t", "pay"}, {"s", tenant}, {"me", life_}, {"known", engine_.known(tenant, core_)}, {"want", want}});
   }
   void sound(const std::string& service) override {
-    if (feed_) feed_->send(Json{{"t", "sound"}, {"s", service}, {"at", loop_.now()}}.dump() + "\n");
+    feed_.send(Json{{"t", "sound"}, {"s", service}, {"at", loop_.now()}});
   }
 
  private:
@@ -221,33 +215,13 @@
     engine_.server_up(id);
   }
 
-  void connect_feed() {
-    LineConn::connect(loop_.io(), settings_.feed(), kServerConnectMs, kMaxLinkBytes,
-                      [this](LineConn::Ptr conn, const asio::error_code&) {
-                        if (!conn) return retry_feed();
-                        feed_ = conn;
-                        conn->start({[this](std::string_view line) { on_feed(line); },
-                                     [this](LineConn::End) {
-                                       feed_ = nullptr;
-                                       retry_feed();
-                                     },
-                                     [this] { loop_.rearm(); }});
-                        renew();
-                      });
-  }
-
-  void retry_feed() {
-    loop_.timers().at(loop_.now() + kReconnectMs, [this] { connect_feed(); });
-    loop_.rearm();
-  }
-
   void renew() {
     touch();
-    if (!feed_) return;
+    if (!feed_.up()) return;
     told_ = engine_.acknowledged();
     Json m{{"t", "renew"}, {"at", loop_.now()}, {"ack", told_}};
     if (Json met = engine_.take_soundings(); !met.is_null()) m["met"] = std::move(met);
-    feed_->send(m.dump() + "\n");
+    feed_.send(m);
     // An acknowledgement that waits for running work follows as soon as that is over.
     if (told_ < engine_.chart().number() && !watching_) watch();
   }
@@ -351,7 +325,8 @@
   std::string core_;  // the core that last gave rights
   const std::string life_ =
       std::to_string(std::uint64_t(std::random_device{}()) << 32 | std::random_device{}());
-  LineConn::Ptr feed_;
+  FeedLink feed_{
+      loop_, settings_.feed(), {[this](std::string_view line) { on_feed(line); }, [this] { renew(); }}};
   std::uint64_t told_ = 0;
   bool watching_ = false;
 };
--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -576,67 +576,6 @@
       });
 }
 
-Json Harbourmaster::status(bool whole) const {
-  Millis now = loop_.now();
-  Json members = Json::array(), catching_up = Json::array();
-  for (auto& m : node_->view().members) {
-    members.push_back(m.name);
-    if (!(m.name == node_->self() ? node_->in_step() : node_->in_step(m.name))) catching_up.push_back(m.name);
-  }
-  // Sums first, and what is out of the ordinary by name: with hundreds of nodes the rest tells nothing.
-  Json zones = Json::object(), behind = Json::array(), suspended = Json::array(), leaving = Json::array();
-  for (auto& [name, e] : roster_.nodes()) {
-    zones[e.zone] = zones.value(e.zone, 0) + 1;
-    if (e.acked < node_->committed()) behind.push_back(name);
-  }
-  Chart chart;
-  chart.follow(node_->ledger());
-  for (auto& [id, i] : chart.instances())
-    if (i.draining) leaving.push_back(id.value);
-  for (auto& [service, l] : chart.leads())
-    if (l.hold) suspended.push_back(service);
-  Json nodes{{"leases", roster_.count(now)}, {"by_zone", zones}, {"behind", behind}};
-  Json databases{{"known", chart.instances().size()}, {"leaving", leaving}};
-  Json services{{"led", chart.leads().size()}, {"suspended", suspended}};
-  if (whole) {
-    for (auto& [name, e] : roster_.nodes())
-      nodes["all"][name] = {{"zone", e.zone}, {"acknowledged", e.acked}, {"lease_ms", e.until - now}};
-    for (auto& [id, i] : chart.instances())
-      databases["all"].push_back({{"id", id.value},
-                                  {"service", i.service},
-                                  {"zone", i.zone},
-                                  {"address", i.address.text()},
-                                  {"draining", i.draining},
-                                  {"primary", i.primary}});
-    for (auto& [service, l] : chart.leads())
-      services["all"][service] = {{"primary", l.primary.value}, {"suspended", l.hold}, {"term", l.term}};
-  }
-  Json events = Json::array();
-  for (auto& e : events_) events.push_back({{"ago_ms", now - e.at}, {"what", e.sentence}});
-  Json revision;
-  if (chart.fed()) revision = chart.config().revision;
-  return {
-      {"core", settings_.node_name},
-      {"zone", settings_.zone},
-      {"name", node_->self()},
-      {"view",
-       {{"number", node_->view().number},
-        {"chain", members},
-        {"voters", node_->view().voters},
-        {"catching_up", catching_up}}},
-      {"seated", node_->seated(now)},
-      {"disk", node_->sick() ? "refuses writes" : "well"},
-      {"change", {{"stored", node_->ledger().stored()}, {"committed", node_->committed()}}},
-      {"configuration", revision},
-      {"duty",
-       {{"holder", node_->view().head()}, {"token", node_->view().headed}, {"held_here", node_->leads(now)}}},
-      {"nodes", nodes},
-      {"services", services},
-      {"trouble", {{"databases", lookout_.databases(now)}, {"routes", lookout_.routes(now)}}},
-      {"events", events},
-      {"databases", databases}};
-}
-
 namespace {
 
 int run_harbourmaster(const std::string&) {
--- a/src/lighter/lighter.cc
+++ b/src/lighter/lighter.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "keel/constants.h"
+#include "keel/feed_link.h"
 #include "keel/http.h"
 #include "keel/log.h"
 #include "keel/loop.h"
@@ -88,7 +89,7 @@
     });
     log_.say("Lighter " + settings_.node_name + " serves beside " + settings_.target_service + ".");
     loop_.every(kNodeRenewMs, [this] { renew(); });
-    connect_feed();
+    feed_.start();
     loop_.run();
     return 0;
   }
@@ -163,13 +164,13 @@
 
   // What the core must know is acknowledged only once it has said so.
   void tell_core(const Json& m, const InstanceId& id, std::uint64_t calls, HttpDone done) {
-    if (!feed_) return done({503, "", {}});
+    if (!feed_.up()) return done({503, "", {}});
     auto key = std::make_pair(id, calls);
     if (auto old = waiting_.find(key); old != waiting_.end()) old->second({503, "", {}}), waiting_.erase(old);
     waiting_[key] = std::move(done);
     Json told = m;
     told["calls"] = calls;
-    feed_->send(told.dump() + "\n");
+    feed_.send(told);
     loop_.timers().at(loop_.now() + kBeatAnswerMs, [this, key] { beat_answered(key, 503); });
     loop_.rearm();
   }
@@ -183,27 +184,7 @@
 
   // --- the feed ---------------------------------------------------------------
 
-  void connect_feed() {
-    LineConn::connect(loop_.io(), settings_.feed(), kServerConnectMs, kMaxLinkBytes,
-                      [this](LineConn::Ptr conn, const asio::error_code&) {
-                        if (!conn) return retry_feed();
-                        feed_ = conn;
-                        conn->start({[this](std::string_view line) { on_feed(line); },
-                                     [this](LineConn::End) {
-                                       feed_ = nullptr;
-                                       retry_feed();
-                                     },
-                                     [this] { loop_.rearm(); }});
-                        renew();
-                      });
-  }
-  void retry_feed() {
-    loop_.timers().at(loop_.now() + kReconnectMs, [this] { connect_feed(); });
-    loop_.rearm();
-  }
-  void renew() {
-    if (feed_) feed_->send(Json{{"t", "renew"}, {"at", loop_.now()}, {"ack", chart_.number()}}.dump() + "\n");
-  }
+  void renew() { feed_.send(Json{{"t", "renew"}, {"at", loop_.now()}, {"ack", chart_.number()}}); }
 
   void on_feed(std::string_view line) {
     Json m = Json::parse(line, nullptr, false);
@@ -267,7 +248,8 @@
   AppConns app_;
   Outbound out_;
   Inbound in_;
-  LineConn::Ptr feed_;
+  FeedLink feed_{
+      loop_, settings_.feed(), {[this](std::string_view line) { on_feed(line); }, [this] { renew(); }}};
   InstanceId left_;
   std::map<std::pair<InstanceId, std::uint64_t>, HttpDone> waiting_;  // beats that the core has not answered
   Millis lease_until_ = 0;
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -72,8 +72,10 @@
   Verdict v{200, {}, {{instance_key(id), text, 0, false}}};
   // An address has one database at a time: whoever was there before has ended, and came back under a new
   // name.
+  const std::string there = "\"" + next->address.text() + "\"";
   if (!now)
     ledger.each("i/", [&](const Row& r) {
+      if (r.value.find(there) == std::string::npos) return;  // reading every row would cost far more
       auto other = Instance::from({r.key.substr(2)}, r.value);
       if (other && other->address == next->address) v.rows.push_back({r.key, {}, 0, true});
     });
