--- /dev/null
+++ b/tests/chain_world.h
@@ -0,0 +1,135 @@
+// A fleet of cores on a simulated network: the same code as in the process, its invariants checked each step.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "chain/node.h"
+#include "keel/constants.h"
+#include "sim_net.h"
+
+namespace pebblespindle::test {
+
+using chain::Answer;
+using chain::Node;
+
+struct Fleet;
+
+struct Core : chain::Outlet {
+  Fleet& fleet;
+  std::string host;
+  MemoryDisk disk;
+  std::unique_ptr<Node> node;
+  Core(Fleet& f, std::string h) : fleet(f), host(std::move(h)) {}
+  void send(const std::string& to, const Json& m) override;
+  chain::Verdict judge(const Ledger& ledger, const Json& u) override {
+    // {key, expect, value}: a compare-and-set, as the configuration and the leads use it.
+    const Row* r = ledger.find(u["key"]);
+    std::string current = r ? r->value : "";
+    if (current == u["value"]) return {};
+    if (current != u["expect"]) return {412, "lost the race", {}};
+    return {200, {}, {{u["key"], u["value"], 0, false}}};
+  }
+  int rises = 0;  // of what is committed: each is fed to every node
+  void committed(std::uint64_t) override;
+  void note(const std::string&) override {}
+};
+
+struct Fleet {
+  // The first `founders` of n cores are the seeds.
+  explicit Fleet(std::uint32_t seed, int n = 3, int founders = 3, std::size_t bear = 1)
+      : net(seed), losses(bear) {
+    for (int i = 0; i < n; ++i) hosts.push_back("core" + std::to_string(i));
+    seeds.assign(hosts.begin(), hosts.begin() + founders);
+    for (auto& host : hosts) start(host, true);
+    net.deliver = [this](const std::string& to, const std::string& from, const Json& m) {
+      auto& c = cores[to];
+      if (c && c->node) c->node->receive(net.now, from, m);
+    };
+  }
+  Node& at(const std::string& host) { return *cores[host]->node; }
+  bool up(const std::string& host) { return cores[host] && cores[host]->node; }
+  void start(const std::string& host, bool bootstrap = false) {
+    auto& c = cores[host];
+    if (!c) c = std::make_unique<Core>(*this, host);
+    c->node = std::make_unique<Node>(
+        Node::Start{host, seeds, bootstrap, losses, std::uint64_t(net.rng()) << 20 | net.rng()}, c->disk, *c,
+        net.now);
+  }
+  void stop(const std::string& host, bool wipe = false) {
+    cores[host]->node.reset();
+    net.forget(host);
+    if (wipe) cores[host]->disk = MemoryDisk();
+  }
+  void cut_off(const std::string& host, bool both_ways) {
+    for (auto& other : hosts)
+      if (other != host) {
+        net.cuts.insert({other, host});
+        if (both_ways) net.cuts.insert({host, other});
+      }
+  }
+  void run(Millis ms) {
+    for (Millis i = 0; i < ms; ++i) {
+      net.step();
+      int leaders = 0, tails = 0;
+      for (auto& host : hosts) {
+        if (!up(host)) continue;
+        if (net.now % 20 == 0) at(host).tick(net.now);
+        if (at(host).leads(net.now)) {
+          ++leaders;
+          auto token = at(host).view().headed;
+          if (at(host).self() != holder) {
+            ASSERT_GT(token, top) << "a new holder without a higher token";
+          }
+          holder = at(host).self();
+          top = token;
+        }
+        tails += at(host).tail() && at(host).seated(net.now);
+      }
+      ASSERT_LE(leaders, 1) << "two cores hold the duty";
+      ASSERT_LE(tails, 1) << "two cores answer reads";
+    }
+  }
+  // One history: the same number never stands for two different rows once it is committed somewhere.
+  void check_history() {
+    for (auto& host : hosts) {
+      if (!up(host) || !at(host).settled()) continue;
+      for (auto& r : at(host).ledger().since(0)) {
+        auto [it, fresh] = history.emplace(r.number, r);
+        ASSERT_EQ(it->second, r) << "number " << r.number << " stands for two rows";
+      }
+    }
+  }
+  int submit(const std::string& host, const std::string& key, const std::string& expect,
+             const std::string& value) {
+    int status = -1;
+    at(host).submit(net.now, {{"key", key}, {"expect", expect}, {"value", value}},
+                    [&status](Answer a) { status = a.status; });
+    run(constants::kSubmitGiveUpMs + 50);
+    return status;
+  }
+  std::optional<std::string> read(const std::string& host, const std::string& key) {
+    std::optional<std::string> out;
+    at(host).read(net.now, key,
+                  [&out](std::optional<std::string> v, bool ok) { out = ok ? v : std::nullopt; });
+    run(constants::kSubmitGiveUpMs + 50);
+    return out;
+  }
+  SimNet net;
+  std::size_t losses;
+  std::vector<std::string> hosts, seeds;
+  std::map<std::string, std::unique_ptr<Core>> cores;
+  std::map<std::uint64_t, Row> history;
+  std::string holder;  // of the duty
+  std::uint64_t top = 0;
+};
+
+inline void Core::send(const std::string& to, const Json& m) {
+  fleet.net.send(node ? node->self() : host, chain::host_of(to), m);
+}
+inline void Core::committed(std::uint64_t) {
+  ++rises;
+  fleet.check_history();
+}
+
+}  // namespace pebblespindle::test
