--- a/src/chain/agreement.cc
+++ b/src/chain/agreement.cc
@@ -76,8 +76,8 @@
     if (view_.has(name) || p.out || p.heard < 0 || now - p.heard > kCoreBeatMs * 2) continue;
     auto here = present_.find(host_of(name));
     if (here != present_.end() && here->second != name) continue;
-    // It has been heard for a while, and has heard of the view.
-    if (now - p.since < kJoinStableMs || p.view != view_.number) continue;
+    // It has been heard for a while, and holds the state as of this view: the chain does not wait for it.
+    if (now - p.since < kJoinStableMs || p.view != view_.number || p.learned != view_.number) continue;
     if (!view_.votes(name)) {
       if (wanted == 0) continue;
       --wanted;
@@ -174,6 +174,7 @@
     }
   }
   promised_ = {n, b};
+  if (accepted_.instance != n) accepted_at_ = now;
   accepted_ = {n, b};
   accepted_view_ = v;
   if (!save(now)) return;
@@ -207,9 +208,16 @@
   unseated_since_ = now;
   for (auto& m : v.members) meet(host_of(m.name));
   for (auto& name : v.voters) meet(host_of(name));
-  // The head's state is the state of the new view; all others take it from the member before them.
+  // The head's state is the state of the new view; all others take what they lack from the member before
+  // them.
   bool head = me && v.head() == self_ && synced_ >= me->joined;
   if (head) synced_ = v.number;
+  if (head && v.headed == v.number) history_.begin(v.headed, ledger_.stored() + 1);
+  sent_.reset();
+  have_waiting_.reset();
+  source_since_ = now;
+  source_at_ = 0;
+  asked_at_ = -100000;
   if (!save(now)) return;
   std::string list, voters;
   for (auto& m : v.members) list += (list.empty() ? "" : ", ") + m.name;
@@ -218,10 +226,8 @@
             (put_out.empty() ? "." : "; put out: " + put_out + "."));
   if (!me || (led && !head)) origins_.clear();  // what was under way here may never be committed
   last_progress_ = now;
-  if (head) {
-    if (tail()) return commit_up_to(now, ledger_.stored());
-    pass_on(now, 0);
-  }
+  if (head) return in_step_now(now);
+  ask_state(now);
   beat(now);
 }
 
--- a/src/chain/node.cc
+++ b/src/chain/node.cc
@@ -11,13 +11,14 @@
 Node::Node(Start start, Disk& disk, Outlet& out, Millis now)
     : self_(start.host),
       target_(2 * start.losses + 1),
+      piece_bytes_(start.piece_bytes),
       disk_(disk),
       out_(out),
       born_(now),
       voters_changed_at_(now),
       put_out_at_(now),
       unseated_since_(now) {
-  last_id_ = start.life << 16 >> 16;  // ids of a former life are not met again
+  last_id_ = asked_ = start.life << 16 >> 16;  // ids of a former life are not met again
   for (auto& s : start.seeds) meet(s);
   load();
   if (view_.number > 0) return;
@@ -29,6 +30,7 @@
     for (auto& f : seeds) view_.members.push_back({f, 1});
     view_.voters = seeds;
     synced_ = 1;
+    history_.begin(1, 1);
     save(now);
     return;
   }
@@ -44,6 +46,12 @@
   auto parsed = Json::parse(meta["durable"], nullptr, false);
   auto v = View::from(Json::parse(meta["view"], nullptr, false));
   ledger_.clear();
+  staged_.clear();
+  stage_.reset();
+  history_ = History();
+  sent_.reset();
+  have_waiting_.reset();
+  learned_ = 0;
   committed_ = 0;
   origins_.clear();
   promised_ = accepted_ = {};
@@ -60,6 +68,12 @@
   for (auto& r : disk_.rows()) ledger_.put(r);
   auto stored = Json::parse(meta["stored"], nullptr, false);
   if (stored.is_number_unsigned()) ledger_.set_stored(std::max<std::uint64_t>(ledger_.stored(), stored));
+  ledger_.trim(number(parsed, "trimmed"));
+  // A ledger of a former version knows no terms: all that it holds counts as of the present head's.
+  if (!history_.enter(parsed.value("terms", Json())) && ledger_.stored() > 0) history_.begin(view_.headed, 1);
+  stage_ = Stage::from(parsed.value("stage", Json()));
+  if (stage_)
+    for (auto& r : disk_.staged()) staged_.put(r);
   // What the tail holds, all members before it hold as well.
   if (tail() && synced_ == view_.number) committed_ = ledger_.stored();
   for (auto& m : view_.members) meet(host_of(m.name));
@@ -68,9 +82,15 @@
 
 // Everything durable but the rows is small; it is written whole with each batch.
 bool Node::save(Millis now, Batch b) {
-  Json d{{"self", self_},          {"pi", promised_.instance},
-         {"pb", promised_.ballot}, {"ai", accepted_.instance},
-         {"ab", accepted_.ballot}, {"synced", synced_}};
+  Json d{{"self", self_},
+         {"pi", promised_.instance},
+         {"pb", promised_.ballot},
+         {"ai", accepted_.instance},
+         {"ab", accepted_.ballot},
+         {"synced", synced_},
+         {"terms", history_.above(0)},
+         {"trimmed", ledger_.trimmed()}};
+  if (stage_) d["stage"] = stage_->json();
   if (accepted_view_) d["av"] = accepted_view_->json();
   b.meta["durable"] = d.dump();
   b.meta["view"] = view_.json().dump();
@@ -127,7 +147,7 @@
 
 bool Node::seated(Millis now, Millis guard) const {
   if (!in_step()) return false;
-  std::size_t n = view_.votes(self_) ? 1 : 0;
+  std::size_t n = grants_itself(now, guard) ? 1 : 0;
   for (auto& [core, p] : peers_)
     if (core != self_ && p.leased_from >= 0 && view_.votes(core) &&
         now < p.leased_from + kViewLeaseMs - kDriftMarginMs - guard)
@@ -135,6 +155,15 @@
   return n >= view_.majority();
 }
 
+// A core's own vote counts for its lease as any other's does: not once it has accepted a view that leaves it
+// out, and for a lease's time once it has accepted one that others will vote on.
+bool Node::grants_itself(Millis now, Millis guard) const {
+  if (!view_.votes(self_)) return false;
+  if (!accepted_view_ || accepted_.instance != view_.number + 1) return true;
+  if (!accepted_view_->has(self_)) return false;
+  return accepted_view_->voters == view_.voters || now < accepted_at_ + kViewLeaseMs - kDriftMarginMs - guard;
+}
+
 // A head is replaced only once a majority's leases to it have ended, so there is one at a time.
 bool Node::leads(Millis now) const {
   return view_.head() == self_ && seated(now, kDutyGuardMs);
@@ -178,13 +207,12 @@
     else if (stuck_since_ < 0)
       stuck_since_ = now;
     propose(now);
-    if (in_step() && !tail() && now >= last_progress_ + kSubmitRetryMs) {
-      auto next = peers_.find(view_.after(self_));
-      bool waits_for_state = next != peers_.end() && next->second.synced != view_.number;
-      if (waits_for_state)
-        pass_on(now, 0);
-      else if (committed_ < ledger_.stored())
-        pass_on(now, committed_);
+    ask_state(now);
+    // Nothing comes back: the next member is asked what it holds, and is sent what it lacks.
+    if (in_step() && !tail() && (committed_ < ledger_.stored() || !in_step(view_.after(self_))) &&
+        now >= last_progress_ + kSubmitRetryMs) {
+      sent_.reset();
+      pass_on(now);
     }
   }
   repeat_unanswered(now);
@@ -223,6 +251,7 @@
 void Node::beat(Millis now) {
   Json m{{"t", "b"}, {"v", view_.number}, {"s", synced_}, {"at", now}};
   if (unseated_since_ >= 0) m["u"] = true;
+  if (learned_ == view_.number && !view_.has(self_)) m["l"] = learned_;
   if (sick_ || leaving_) m["x"] = true;
   spread(m);
 }
@@ -235,6 +264,7 @@
   p.heard = now;
   p.view = number(m, "v");
   p.synced = number(m, "s");
+  p.learned = number(m, "l");
   if (!field<bool>(m, "u", false))
     p.unseated_since = -1;
   else if (p.unseated_since < 0)
@@ -259,56 +289,103 @@
   out_.send(from, {{"t", "a"}, {"v", view_.number}, {"at", m.value("at", Json())}});
 }
 
-// Sends the member after this one every row above base; base 0 sends the whole state.
-void Node::pass_on(Millis now, std::uint64_t base) {
+// Sends the member after this one every row it has not been sent yet. Where it stands is its own word: a core
+// that does not know it asks.
+void Node::pass_on(Millis now) {
   CoreName next = view_.after(self_);
   if (next.empty()) return;
-  auto rows = ledger_.since(base);
+  last_progress_ = now;
+  if (!sent_) {
+    out_.send(next, decision());  // the view first, so that the question is not met too early
+    out_.send(next, {{"t", "ask"}, {"n", view_.number}});
+    return;
+  }
+  Json m = rows_after(*sent_, ledger_.since(*sent_));
+  m["n"] = view_.number;
+  sent_ = ledger_.stored();
+  out_.send(next, m);
+}
+
+// All that follows on a number, as one message.
+Json Node::rows_after(std::uint64_t base, const std::vector<Row>& rows) const {
+  Json m{{"t", "up"},
+         {"base", base},
+         {"bt", history_.at(base)},
+         {"k", ledger_.stored()},
+         {"r", rows_to_json(rows)}};
+  if (Json terms = history_.above(base); !terms.empty()) m["e"] = std::move(terms);
   Json o = Json::array();
   for (auto& x : origins_)
     if (x.number > base && x.status == 200) o.push_back(Json::array({x.number, x.core, x.id}));
-  Json m{
-      {"t", "up"}, {"n", view_.number}, {"base", base}, {"k", ledger_.stored()}, {"r", rows_to_json(rows)}};
-  if (!o.empty()) m["o"] = o;
-  last_progress_ = now;
-  if (base == 0) out_.send(next, decision());  // the view first, so that the state is not met too early
-  out_.send(next, m);
+  if (!o.empty()) m["o"] = std::move(o);
+  return m;
 }
 
+// Rows that follow on what is held here. Whether they do is told by number and term of the base.
 void Node::on_update(Millis now, const CoreName& from, const Json& m) {
-  if (sick_ || number(m, "n") != view_.number || view_.before(self_) != from) return;
+  if (sick_ || leaving_ || number(m, "n") != view_.number) return;
+  const bool member = view_.has(self_), joining = synced_ != view_.number;
+  // The member before speaks by itself; else it is an answer to the last question.
+  const bool answer = number(m, "q") != 0 && number(m, "q") == asked_;
+  if (member ? view_.before(self_) != from : !answer) return;
   auto rows = rows_from_json(m.value("r", Json()));
   if (!rows) return;
-  std::uint64_t base = number(m, "base"), k = number(m, "k"), before = ledger_.stored();
-  bool whole = base == 0, joining = synced_ != view_.number;
-  if (joining && !whole) return;
-  if (!joining && (base > before)) return;
-  Batch b;
-  if (joining) {
-    ledger_.clear();
-    origins_.clear();
-    b.clear_rows = true;
-    synced_ = view_.number;
-    before = 0;
+  const std::uint64_t base = number(m, "base"), k = number(m, "k"), before = ledger_.stored();
+  if (base > before || k < base || !history_.agrees(base, number(m, "bt")) || (joining && base != before)) {
+    if (answer) return;
+    asked_at_ = -100000;
+    return ask_state(now);
   }
-  if (k > ledger_.stored() || joining) {
+  Batch b;
+  drop_stage(b);
+  if (k > before) {
+    history_.enter(m.value("e", Json()));
     for (auto& r : *rows.value)
-      if (r.number > ledger_.stored() || joining) b.rows.push_back(r);
+      if (r.number > before) b.rows.push_back(r);
     for (auto& r : b.rows) ledger_.put(r);
     ledger_.set_stored(k);
-    if (!save(now, b)) return;
   }
+  if (member) synced_ = view_.number;
+  if ((k > before || (member && joining) || b.clear_staged) && !save(now, b)) return;
+  if (!member) {
+    if (std::exchange(learned_, view_.number) != view_.number) beat(now);  // it may be let in
+    return;
+  }
+  if (joining) origins_.clear();
   if (m.contains("o"))
     for (auto& o : m["o"]) {
+      if (!o.is_array() || o.size() != 3 || !o[0].is_number_unsigned() || !o[1].is_string() ||
+          !o[2].is_number_unsigned())
+        continue;
       Origin x{o.at(0), o.at(1), o.at(2), 200, {}};
       bool known = false;
       for (auto& y : origins_) known = known || (y.core == x.core && y.id == x.id);
       if (!known) origins_.push_back(x);
     }
+  if (joining) return in_step_now(now);
   if (tail())
     commit_up_to(now, ledger_.stored());
-  else
-    pass_on(now, joining ? 0 : std::min(before, base == 0 ? before : base));
+  else if (k > before)
+    pass_on(now);
+}
+
+// This core has come to hold the view's state.
+void Node::in_step_now(Millis now) {
+  last_progress_ = now;
+  if (tail()) {
+    commit_up_to(now, ledger_.stored());
+  } else if (have_waiting_) {
+    Json m = *std::exchange(have_waiting_, std::nullopt);
+    on_have(now, view_.after(self_), m);
+  } else {
+    pass_on(now);
+  }
+  beat(now);
+}
+
+void Node::linked() {
+  next_beat_ = 0;
+  asked_at_ = -100000;
 }
 
 void Node::on_commit(Millis now, const CoreName& from, const Json& m) {
@@ -359,7 +436,6 @@
   auto offers = std::move(waiting_);
   waiting_.clear();
   if (view_.head() != self_ || !seated(now)) return;  // they are offered again, here or elsewhere
-  std::uint64_t base = ledger_.stored();
   Batch b;
   for (auto& o : offers) {
     if (now >= o.at + kSubmitGiveUpMs) continue;  // nobody waits for it any more
@@ -379,7 +455,7 @@
   if (b.rows.empty()) return answer_origins(now);
   if (!save(now, b)) return;
   if (tail()) return commit_up_to(now, ledger_.stored());
-  pass_on(now, base);
+  pass_on(now);
 }
 
 void Node::offer(Millis now, std::uint64_t id, Pending& p) {
@@ -441,6 +517,13 @@
   }
   if (t == "up") return on_update(now, from, m);
   if (t == "com") return on_commit(now, from, m);
+  if (t == "have") return on_have(now, from, m);
+  if (t == "pc") return on_piece(now, from, m);
+  if (t == "ask") {
+    if (number(m, "n") != view_.number || view_.before(self_) != from) return;
+    asked_at_ = -100000;
+    return ask_state(now);
+  }
   if (t == "sub") return head_takes(now, from, number(m, "id"), m.value("u", Json()));
   if (t == "done") return finish(number(m, "id"), {field<int>(m, "s", 0), field<std::string>(m, "why", "")});
   if (t == "read") return serve_read(now, from, m);
--- a/src/chain/node.h
+++ b/src/chain/node.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <set>
 
+#include "chain/history.h"
 #include "chain/view.h"
+#include "keel/constants.h"
 #include "ledger/ledger.h"
 
 namespace pebblespindle::chain {
@@ -36,10 +38,11 @@
  public:
   struct Start {
     std::string host;
-    std::vector<std::string> seeds;  // hosts
-    bool bootstrap = false;          // the very first start of the whole system
-    std::size_t losses = 1;          // cores that may be lost at once
-    std::uint64_t life = 0;          // drawn anew for each start of the process
+    std::vector<std::string> seeds;                         // hosts
+    bool bootstrap = false;                                 // the very first start of the whole system
+    std::size_t losses = 1;                                 // cores that may be lost at once
+    std::uint64_t life = 0;                                 // drawn anew for each start of the process
+    std::size_t piece_bytes = constants::kStatePieceBytes;  // of a state that goes to another core
   };
   Node(Start start, Disk& disk, Outlet& out, Millis now);
 
@@ -51,7 +54,9 @@
   void meet(const std::string& host);  // another core, by whatever way it became known
   // Takes no further part: the process is about to end. The others need not wait for its leases.
   void step_out(Millis now);
-  void linked() { next_beat_ = 0; }  // a link to another core has come up: it hears of this one at once
+  void linked();  // a link to another core has come up: it hears of this one at once
+  // What is gone and no longer of use is forgotten; acked: by all nodes with a lease here.
+  void trim(Millis now, std::uint64_t acked);
 
   const View& view() const { return view_; }
   const Ledger& ledger() const { return ledger_; }
@@ -70,6 +75,9 @@
   std::set<std::string> hosts() const;  // all other cores worth a link
   const CoreName& self() const { return self_; }
   Millis heard(const CoreName& core) const;
+  // Whether a state is being taken from another core, and how many rows of it are here.
+  bool taking() const { return stage_.has_value(); }
+  std::size_t taken() const { return staged_.size(); }
   Millis put_out_at() const { return put_out_at_; }  // when a member was last left out of the view
 
  private:
@@ -94,6 +102,7 @@
     std::uint64_t instance = 0, ballot = 0;
   };
 
+  bool grants_itself(Millis now, Millis guard) const;
   bool may_vote() const { return !sick_ && !leaving_ && view_.votes(self_); }
   bool save(Millis now, Batch b = {});
   void load();
@@ -119,10 +128,29 @@
   void on_beat(Millis now, const CoreName& from, const Json& m);
   void take_waiting(Millis now);
   void head_takes(Millis now, const CoreName& origin, std::uint64_t id, const Json& update);
-  void pass_on(Millis now, std::uint64_t base);
+  void pass_on(Millis now);
+  Json rows_after(std::uint64_t base, const std::vector<Row>& rows) const;
   void on_update(Millis now, const CoreName& from, const Json& m);
+  void in_step_now(Millis now);
   void on_commit(Millis now, const CoreName& from, const Json& m);
   void commit_up_to(Millis now, std::uint64_t number);
+
+  // catching up
+  struct Stage {           // of a state that is being taken, until it is whole
+    bool whole = false;    // it will replace what is held; else it adds to it
+    bool scanned = false;  // all keys have been walked; what has changed since is still to come, by number
+    std::string cursor;    // of the walk by key
+    Ledger::Place place;   // of the walk by number
+    std::uint64_t top = 0, term = 0;  // where the core stood that sent the last piece
+    Json json() const;
+    static std::optional<Stage> from(const Json& j);
+  };
+  CoreName source(Millis now) const;  // whom to take the state from; empty when there is nobody or no need
+  void ask_state(Millis now);
+  void on_have(Millis now, const CoreName& from, const Json& m);
+  void give_state(const CoreName& to, const Json& m);
+  void on_piece(Millis now, const CoreName& from, const Json& m);
+  void drop_stage(Batch& b);
   void answer_origins(Millis now);
   void finish(std::uint64_t id, Answer a);
   void offer(Millis now, std::uint64_t id, Pending& p);
@@ -132,6 +160,7 @@
 
   CoreName self_;
   std::size_t target_;  // voters wanted
+  std::size_t piece_bytes_;
   Disk& disk_;
   Outlet& out_;
   Millis born_;
@@ -144,16 +173,31 @@
   std::optional<View> accepted_view_;
   std::uint64_t synced_ = 0;  // the view whose state this core holds in full
   Ledger ledger_;
+  History history_;
+  std::optional<Stage> stage_;
+  Ledger staged_;
 
   // of this life only
+  std::optional<std::uint64_t> sent_;  // up to which the next member has been sent the rows; empty: not known
+  std::optional<Json> have_waiting_;   // the next member's word, until this core is in step
+  std::uint64_t asked_ = 0;            // the last question for the state, counted
+  Millis asked_at_ = -100000, source_since_ = 0;
+  std::size_t source_at_ = 0;  // a core outside the chain asks the tail, and others where that is silent
+  std::uint64_t learned_ = 0;  // the view as of which this core, outside it, holds the state
+  struct Mark {
+    Millis at = 0;
+    std::uint64_t number = 0;
+  };
+  std::vector<Mark> trims_;  // what was committed when
   bool sick_ = false, leaving_ = false;
   Millis stepped_out_at_ = -1;  // leases asked for before this are given back
   Millis try_disk_at_ = 0;
   std::uint64_t committed_ = 0;
   Millis voters_changed_at_, put_out_at_;
+  Millis accepted_at_ = -100000;  // when the first view for the next number was accepted
   struct Peer {
     Millis heard = -1, since = -1;  // last heard; heard without a gap since
-    std::uint64_t synced = 0, view = 0;
+    std::uint64_t synced = 0, view = 0, learned = 0;
     bool out = false;  // it has said that it takes no part
     Millis unseated_since = -1, out_of_step_since = -1;
     Millis granted = -1, granted_at = -1;  // here, and by the clock of the one who asked
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -8,9 +8,12 @@
 // --- wire ---------------------------------------------------------------
 constexpr std::size_t kMaxMessageBytes = 1 << 20;  // bytes; the wire's own bound on a message
 constexpr std::size_t kMaxLinkBytes =
-    8 << 20;  // bytes; a snapshot on an inner link: several full configurations
-constexpr std::size_t kMaxPeerQueueBytes =
-    4 << 20;  // bytes; several whole states wait for a core that reads nothing; then the link starts anew
+    8 << 20;  // bytes; a message on an inner link: a change of a whole configuration, escaped
+constexpr std::size_t kMaxPeerQueueBytes = 16 << 20;  // bytes; two of the longest messages wait for a core
+                                                      // that reads nothing; then the link starts anew
+constexpr std::size_t kStatePieceBytes =
+    65536;  // bytes; a state goes between cores in pieces of this: beats and updates pass in between
+constexpr std::size_t kRowBytes = 32;  // bytes; what a row adds to its key and value in a message, about
 constexpr std::size_t kMaxHttpBodyBytes = 2 << 20;  // bytes; four times the largest configuration seen
 constexpr std::size_t kPieceBytes = 12288;  // bytes; 50 ms of a link of 2 Mbit/s: leases pass in between
 constexpr std::size_t kPiecesAhead = 2;  // pieces on their way to a node; the link does not idle between two
@@ -32,9 +35,18 @@
 constexpr std::uint64_t kBallotStep = 16;  // ballots; more than there are voters, so that no two share one
 constexpr std::size_t kTakenKept =
     64;  // configurations taken of late that are known again; offers are repeated for seconds, not minutes
-constexpr std::size_t kEventsKept = 60;      // sentences a core keeps for status: some minutes of trouble
-constexpr std::int64_t kDiskRetryMs = 300;   // ms; pause between tries of a disk that refused a write
-constexpr std::int64_t kDriftMarginMs = 50;  // ms; clock drift and late timers over the longest lease
+constexpr std::size_t kTermsKept =
+    64;  // terms of heads; more changes of the head than this behind, a core takes a whole state
+constexpr std::int64_t kStateAskMs =
+    100;  // ms; a core without the view's state asks for it again: some round trips
+constexpr std::int64_t kStandbyAskMs =
+    1000;  // ms; a core outside the chain keeps up with it: few bytes, a second behind
+constexpr std::int64_t kTrimAfterMs = 600000;  // ms; what is gone is kept this long: no call of a database
+                                               // lives longer, nor does a node's break
+constexpr std::int64_t kTrimStepMs = 60000;    // ms; how often what is gone is looked through
+constexpr std::size_t kEventsKept = 60;        // sentences a core keeps for status: some minutes of trouble
+constexpr std::int64_t kDiskRetryMs = 300;     // ms; pause between tries of a disk that refused a write
+constexpr std::int64_t kDriftMarginMs = 50;    // ms; clock drift and late timers over the longest lease
 constexpr std::int64_t kProposalRetryMs =
     300;  // ms; a few round trips and syncs between zones, then a new ballot
 constexpr std::int64_t kJoinStableMs =
@@ -190,8 +202,7 @@
 constexpr std::int64_t kTallyAskMs = 50;      // ms; many round trips: then it is asked again
 constexpr std::int64_t kTallyStepMost = 200;  // ms; one that stood still longer credits no more than this
 constexpr double kTallyPile = 0.6;  // of the burst: what may pile up at the cores; the rest is with the nodes
-constexpr double kTallyLeast =
-    3;  // operations; a core's share of the smallest allowance is worth asking for
+constexpr double kTallyLeast = 3;  // operations; a core's share of the smallest allowance is worth asking for
 constexpr double kTallyThreshold = 0.1;       // of a core's share: below it another core is asked
 constexpr std::int64_t kRightsLastMs = 1500;  // ms; what a node holds and does not use lapses
 constexpr double kRightsAheadS = 0.3;         // s; of its own use that a node asks for at once
--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "keel/constants.h"
+
 namespace pebblespindle {
 
 Json rows_to_json(const std::vector<Row>& rows) {
@@ -39,17 +41,79 @@
 }
 
 void Ledger::put(const Row& row) {
-  rows_[row.key] = row;
+  auto [it, fresh] = rows_.try_emplace(row.key, row);
+  if (!fresh) {
+    order_.erase({it->second.number, it->first});
+    it->second = row;
+  }
+  order_.insert({row.number, it->first});
   ++changes_;
   stored_ = std::max(stored_, row.number);
 }
 
+void Ledger::clear() {
+  order_.clear();
+  rows_.clear();
+  stored_ = trimmed_ = 0;
+  ++lives_;
+}
+
+void Ledger::take(Ledger& other) {
+  clear();
+  rows_.swap(other.rows_);
+  order_.swap(other.order_);
+  stored_ = other.stored_;
+  trimmed_ = other.trimmed_;
+  ++changes_;
+  other.clear();
+}
+
 std::vector<Row> Ledger::since(std::uint64_t number) const {
   std::vector<Row> out;
-  for (auto& [key, row] : rows_)
-    if (row.number > number) out.push_back(row);
-  std::sort(out.begin(), out.end(), [](const Row& a, const Row& b) { return a.number < b.number; });
+  for (auto it = order_.lower_bound({number + 1, {}}); it != order_.end(); ++it)
+    out.push_back(rows_.find(std::string(it->second))->second);
   return out;
 }
 
+void Ledger::trim(std::uint64_t number) {
+  trimmed_ = std::max(trimmed_, number);
+  for (auto it = order_.begin(); it != order_.end() && it->first <= number;) {
+    auto row = rows_.find(std::string(it->second));
+    it = row->second.gone ? order_.erase(it) : std::next(it);
+    if (row->second.gone) rows_.erase(row);
+  }
+}
+
+namespace {
+
+std::size_t weight(const Row& r) {
+  return r.key.size() + r.value.size() + constants::kRowBytes;
+}
+
+}  // namespace
+
+Ledger::Walk Ledger::by_key(const std::string& after, std::size_t bytes) const {
+  Walk w;
+  std::size_t sum = 0;
+  auto it = rows_.upper_bound(after);
+  for (; it != rows_.end() && sum < bytes; ++it) {
+    sum += weight(it->second);
+    w.rows.push_back(it->second);
+  }
+  w.complete = it == rows_.end();
+  return w;
+}
+
+Ledger::Walk Ledger::by_number(const Place& after, std::size_t bytes) const {
+  Walk w;
+  std::size_t sum = 0;
+  auto it = order_.upper_bound({after.number, after.key});
+  for (; it != order_.end() && sum < bytes; ++it) {
+    w.rows.push_back(rows_.find(std::string(it->second))->second);
+    sum += weight(w.rows.back());
+  }
+  w.complete = it == order_.end();
+  return w;
+}
+
 }  // namespace pebblespindle
--- a/src/ledger/sqlite_disk.cc
+++ b/src/ledger/sqlite_disk.cc
@@ -9,6 +9,9 @@
 namespace pebblespindle {
 namespace {
 
+const std::string kRowColumns =
+    "(key TEXT PRIMARY KEY, value TEXT, number INTEGER, gone INTEGER) WITHOUT ROWID";
+
 class Prepared {
  public:
   Prepared(sqlite3* db, const char* sql) { ok_ = sqlite3_prepare_v2(db, sql, -1, &s_, nullptr) == SQLITE_OK; }
@@ -55,9 +58,9 @@
     }
     if (check.column(0) != "ok") return SQLITE_CORRUPT;
   }
-  for (const char* sql : {"CREATE TABLE IF NOT EXISTS rows(key TEXT PRIMARY KEY, value TEXT, number INTEGER, "
-                          "gone INTEGER) WITHOUT ROWID",
-                          "CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value TEXT) WITHOUT ROWID"})
+  for (auto& sql :
+       {"CREATE TABLE IF NOT EXISTS rows" + kRowColumns, "CREATE TABLE IF NOT EXISTS staged" + kRowColumns,
+        std::string("CREATE TABLE IF NOT EXISTS meta(key TEXT PRIMARY KEY, value TEXT) WITHOUT ROWID")})
     if (!run(sql)) return sqlite3_errcode(db_);
   return SQLITE_OK;
 }
@@ -106,22 +109,44 @@
   sqlite3_close(db_);
 }
 
-bool SqliteDisk::run(const char* sql) {
-  return sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK;
+bool SqliteDisk::run(const std::string& sql) {
+  return sqlite3_exec(db_, sql.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK;
+}
+
+bool SqliteDisk::put(const char* sql, const std::vector<Row>& rows) {
+  if (rows.empty()) return true;
+  Prepared put(db_, sql);
+  for (auto& r : rows) {
+    put.text(1, r.key);
+    put.text(2, r.value);
+    put.number(3, r.number);
+    put.number(4, r.gone);
+    if (!put.done()) return false;
+  }
+  return true;
+}
+
+// Exchanging the tables costs the same for a state of any size.
+bool SqliteDisk::promote(Batch::Promote how) {
+  if (how == Batch::Promote::kReplace)
+    return run("DROP TABLE rows") && run("ALTER TABLE staged RENAME TO rows") &&
+           run("CREATE TABLE staged" + kRowColumns);
+  if (how == Batch::Promote::kMerge)
+    return run("INSERT OR REPLACE INTO rows SELECT * FROM staged") && run("DELETE FROM staged");
+  return true;
 }
 
 bool SqliteDisk::commit(const Batch& b) {
   if (!run("BEGIN")) return false;
-  bool good = !b.clear_rows || run("DELETE FROM rows");
+  bool good = !b.clear_staged || run("DELETE FROM staged");
+  good = good && put("INSERT OR REPLACE INTO staged VALUES(?,?,?,?)", b.staged) && promote(b.promote);
+  good = good && put("INSERT OR REPLACE INTO rows VALUES(?,?,?,?)", b.rows);
+  if (b.trim > 0) {
+    Prepared trim(db_, "DELETE FROM rows WHERE gone AND number <= ?");
+    trim.number(1, b.trim);
+    good = good && trim.done();
+  }
   {
-    Prepared put(db_, "INSERT OR REPLACE INTO rows VALUES(?,?,?,?)");
-    for (auto& r : b.rows) {
-      put.text(1, r.key);
-      put.text(2, r.value);
-      put.number(3, r.number);
-      put.number(4, r.gone);
-      good = good && put.done();
-    }
     Prepared set(db_, "INSERT OR REPLACE INTO meta VALUES(?,?)");
     for (auto& [key, value] : b.meta) {
       set.text(1, key);
@@ -134,13 +159,21 @@
   return false;
 }
 
-std::vector<Row> SqliteDisk::rows() {
+std::vector<Row> SqliteDisk::read(const char* sql) {
   std::vector<Row> out;
-  Prepared q(db_, "SELECT key, value, number, gone FROM rows ORDER BY number");
+  Prepared q(db_, sql);
   while (q.row()) out.push_back({q.column(0), q.column(1), q.column_number(2), q.column_number(3) != 0});
   return out;
 }
 
+std::vector<Row> SqliteDisk::rows() {
+  return read("SELECT key, value, number, gone FROM rows");
+}
+
+std::vector<Row> SqliteDisk::staged() {
+  return read("SELECT key, value, number, gone FROM staged");
+}
+
 std::map<std::string, std::string> SqliteDisk::meta() {
   std::map<std::string, std::string> out;
   Prepared q(db_, "SELECT key, value FROM meta");
--- a/src/ledger/sqlite_disk.h
+++ b/src/ledger/sqlite_disk.h
@@ -19,12 +19,16 @@
   bool commit(const Batch& batch) override;
   bool reopen() override;
   std::vector<Row> rows() override;
+  std::vector<Row> staged() override;
   std::map<std::string, std::string> meta() override;
 
  private:
   SqliteDisk(std::string path, const char* vfs) : path_(std::move(path)), vfs_(vfs) {}
   int connect();  // an SQLite code
-  bool run(const char* sql);
+  bool run(const std::string& sql);
+  bool put(const char* sql, const std::vector<Row>& rows);
+  bool promote(Batch::Promote how);
+  std::vector<Row> read(const char* sql);
   std::string path_;
   const char* vfs_;
   sqlite3* db_ = nullptr;
--- a/src/ordinance/delivery.cc
+++ b/src/ordinance/delivery.cc
@@ -21,6 +21,7 @@
     feeding_ = nullptr;
     // Only whole, committed states go out: between two changes of a row there is nothing to send.
     if (!greeted_ || !settled || sent_ >= committed) return;
+    if (sent_ < ledger.trimmed()) sent_ = 0;  // what is gone is no longer named: it takes the state whole
     if (news.from != sent_ || news.to != committed || news.life != ledger.lives())
       news = {sent_, committed, ledger.lives(),
               std::make_shared<const std::vector<std::string>>(
