--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -26,19 +26,48 @@
 }
 
 // One that has told of its end goes on receiving until it ends: what it has received counts, unless the
-// primary tells what does.
+// primary tells what does. One that leads is asked in any case.
 std::vector<Instance> Failover::receivers(const std::string& service, const Job& job) {
   auto out = members(service);
-  if (!job.committed.none()) return out;
-  std::erase_if(departed_, [&](auto& d) { return now_ > d.since + kDepartedMs; });
-  for (auto& d : departed_)
-    if (d.instance.service == service) {
-      out.push_back(d.instance);
-      out.back().draining = true;
-    }
+  auto l = lead(service);
+  std::erase_if(departed_, [&](auto& d) {
+    return now_ > d.since + kDepartedMs || (d.gone() && now_ > d.since + kUnaskedMs);
+  });
+  for (auto& d : departed_) {
+    if (d.instance.service != service) continue;
+    if (!job.committed.none() && !(l && d.instance.id == l->primary)) continue;
+    out.push_back(d.instance);
+    out.back().draining = true;
+  }
   return out;
 }
 
+Failover::Departed* Failover::departed(const InstanceId& id) {
+  auto d = std::find_if(departed_.begin(), departed_.end(), [&](auto& x) { return x.instance.id == id; });
+  return d == departed_.end() ? nullptr : &*d;
+}
+
+// What those that leave have answered: their logs, and whether they have ended. A single refusal may be the
+// reset of a connection.
+void Failover::note_departing(const std::string& service, Job& job) {
+  auto l = lead(service);
+  if (!l) return;
+  for (auto& i : receivers(service, job)) {
+    auto r = job.replies.find(i.id);
+    if (r == job.replies.end()) continue;
+    bool row = r->second.kind == DbReply::Kind::kRow;
+    if (row && i.id != l->primary) job.logs[i.id] = std::max(job.logs[i.id], r->second.info.received);
+    if (Departed* d = departed(i.id)) {
+      if (r->second.error.starts_with("WRONGNODE"))
+        d->refusals = kEndedRefusals;
+      else if (r->second.kind == DbReply::Kind::kRefused)
+        ++d->refusals;
+      else
+        d->refusals = 0;
+    }
+  }
+}
+
 std::optional<Lead> Failover::lead(const std::string& service) {
   const Lead* l = chart().lead(service);
   return l ? std::optional(*l) : std::nullopt;
@@ -155,12 +184,20 @@
       if (now < job.retry_at) return;
       auto primary = instance(l->primary);
       auto& all = chart().of(service);
-      bool successor = std::any_of(all.begin(), all.end(),
-                                   [&](const Instance* i) { return i->id != l->primary && !i->draining; });
-      if (!successor) return;
-      if (!primary) return begin(now, service, *l, false, "the primary has left");
-      if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
-      if (found_slow(service, l->primary)) {
+      bool other = std::any_of(all.begin(), all.end(), [&](auto* i) { return i->id != l->primary; });
+      bool successor =
+          std::any_of(all.begin(), all.end(), [&](auto* i) { return i->id != l->primary && !i->draining; });
+      // One that has told of its end and still runs tells what it has committed.
+      Departed* left = primary ? nullptr : departed(l->primary);
+      bool runs = left && !left->gone() && now <= left->since + kDepartedMs;
+      if (runs && !successor) return;
+      if (!primary && other) return begin(now, service, *l, runs, "the primary has left");
+      if (!primary) return;
+      // Where all others are leaving, one of them takes over from a dead primary all the same: it alone can
+      // hand its log on, while it runs.
+      if (!other) return;
+      if (primary->draining && successor) return begin(now, service, *l, true, "the primary is leaving");
+      if (successor && found_slow(service, l->primary)) {
         handed_over_[service] = now;
         return begin(now, service, *l, true, "the primary is slow");
       }
@@ -264,7 +301,9 @@
   // A primary that is said to be alive is waited for: what it has committed must not be left behind. One that
   // may be dead is asked as well, but not waited for: what it has acknowledged is on the replicas.
   bool wait = l->planned && !job.called && job.blind < kBlindTries;
-  auto whom = wait ? members(service) : receivers(service, job);
+  job.committed = {};  // what a primary told that has died since leaves out what others have received
+  auto whom = receivers(service, job);
+  if (wait) std::erase_if(whom, [&](auto& i) { return i.id != l->primary && !instance(i.id); });
   if (!wait) {
     for (auto& i : whom)
       if (i.id == l->primary) {
@@ -286,6 +325,7 @@
   std::uint64_t newest = l->term, old_term = 0;
   InstanceId leader;
   std::uint64_t leader_term = 0;
+  note_departing(service, job);
   for (auto& [id, r] : job.replies) {
     // Its address is another's by now: the database of that name is no more.
     if (r.error.starts_with("WRONGNODE")) out_.submit(leave_update(id), [](chain::Answer) {});
@@ -293,14 +333,16 @@
     newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
     if (id == l->primary && r.info.primary) {
       old_term = r.info.term;
-      job.committed = r.info.received;
+      // Once a promote may have been called, it is the logs of all who received that count: what the primary
+      // has stored since, and nobody was told of, is no reason to let the others go on.
+      if (!job.called) job.committed = r.info.received;
     }
     if (id != l->primary && r.info.primary && r.info.term > leader_term)
       leader = id, leader_term = r.info.term;
   }
   if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
   if (newest == 0) return again(now, job);  // nobody told a term
-  bool alive = old_term > 0;
+  bool alive = job.alive = old_term > 0;
   if (!alive && l->planned && !job.called && ++job.blind < kBlindTries) return again(now, job);
   if (alive && !l->planned && !job.called) return abandon(now, service, job);
   std::vector<Instance> whom;
@@ -320,14 +362,15 @@
   std::optional<Position> furthest;
   bool missing = false;
   std::string out_of_reach;
+  note_departing(service, job);
   std::vector<Instance> whom;
   for (auto& i : receivers(service, job)) {
     if (i.id == l->primary) continue;
     auto r = job.replies.find(i.id);
-    // One that has told of its end, and has ended.
-    bool ended = r != job.replies.end() &&
-                 (r->second.kind == DbReply::Kind::kRefused || r->second.error.starts_with("WRONGNODE"));
-    if (ended && !chart().instance(i.id)) continue;
+    // One that has told of its end, and has ended. Where its log was never learnt, the primary may be back
+    // before long, and knows what was committed.
+    Departed* d = departed(i.id);
+    if (d && d->gone() && (job.logs.count(i.id) || now > d->since + kUnaskedMs)) continue;
     if (r == job.replies.end() || r->second.kind != DbReply::Kind::kRow) {
       missing = true;
       const char* how[] = {"a row", "an error", "a refusal", "silence"};
@@ -346,14 +389,21 @@
     if (now > job.since) out_.note("Failover of " + service + " waits: " + out_of_reach + ".");
     return again(now, job);
   }
-  // Once a promote may have been called, nobody is let go again: it may still take effect.
-  if (*furthest < job.committed && !job.called) {
+  // What one that left took along is nowhere but in the log of the primary. Nodes pass no commit on as kept
+  // meanwhile, so to let the others receive lets nothing be acknowledged.
+  for (auto& [id, position] : job.logs) {
+    bool here = std::any_of(whom.begin(), whom.end(), [&](auto& i) { return i.id == id; });
+    if (here || !must_have_all || !former || position <= *furthest || !job.committed.none()) continue;
+    out_.note("Failover of " + service + " waits: " + id.value + " has ended and had received " +
+              position.text() + ", the others " + furthest->text() + ".");
+    if (!job.alive) return again(now, job);
+    return receive_more(service, job, whom);
+  }
+  if (*furthest < job.committed) {
     // Something was committed with the help of a database that is not known here: let the others receive it.
     out_.note("Failover of " + service + " waits: the replicas stand at " + furthest->text() +
               ", the primary at " + job.committed.text() + ".");
-    ++job.round;
-    ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
-    return;
+    return receive_more(service, job, whom);
   }
   const Instance* best = nullptr;
   for (auto& i : whom) {
@@ -365,16 +415,17 @@
   if (best->draining && l->planned && !job.called) {
     bool other = std::any_of(whom.begin(), whom.end(), [](auto& i) { return !i.draining; });
     // One that stays will have caught up in a moment: let the replicas receive once more.
-    if (other) {
-      ++job.round;
-      ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
-      return;
-    }
+    if (other) return receive_more(service, job, whom);
   }
   job.successor = best->id;
   promote(now, service, job);
 }
 
+void Failover::receive_more(const std::string& service, Job& job, const std::vector<Instance>& whom) {
+  ++job.round;
+  ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
+}
+
 void Failover::promote(Millis now, const std::string& service, Job& job) {
   if (!out_.holds()) return go(job, Step::kIdle);
   go(job, Step::kPromoting);
@@ -403,6 +454,7 @@
 
 void Failover::confirm_lead(Millis now, const std::string& service, Job& job) {
   auto i = instance(job.successor);
+  if (Departed* d = departed(job.successor); !i && d) i = d->instance;
   if (!i) return again(now, job);
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
@@ -473,7 +525,9 @@
       continue;
     }
     // What it last said of itself may be old: it may lead still, or be held by now.
-    out_.ask(i, "STEPDOWN " + std::to_string(l->term), [this, i, done](DbReply reply) {
+    out_.ask(i, "STEPDOWN " + std::to_string(l->term), [this, i, service, serial, done](DbReply reply) {
+      auto it = releases_.find(service);
+      if (it == releases_.end() || it->second.serial != serial) return;  // another switch has begun
       if (reply.kind == DbReply::Kind::kRow)
         out_.ask(i, "CONTINUE", done);
       else
--- a/src/duty/failover.h
+++ b/src/duty/failover.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "chain/node.h"
+#include "keel/constants.h"
 #include "ordinance/chart.h"
 #include "wire/wire.h"
 
@@ -56,8 +57,10 @@
     Millis held_since = 0;
     std::uint64_t held_number = 0;
     std::uint64_t term = 0;
+    std::map<InstanceId, Position> logs;  // what the replicas told that they had received
     Position committed;   // where a living primary stood once nobody was told of commits any more
     int blind = 0;        // tries in which a primary said to be alive did not tell that
+    bool alive = false;   // the primary told in this round that it leads
     bool called = false;  // a promote may have been taken
     bool told = false;
   };
@@ -85,6 +88,7 @@
   void survey(Millis now, const std::string& service, Job& job);
   void surveyed(Millis now, const std::string& service, Job& job);
   void paused(Millis now, const std::string& service, Job& job);
+  void receive_more(const std::string& service, Job& job, const std::vector<Instance>& whom);
   void promote(Millis now, const std::string& service, Job& job);
   void confirm_lead(Millis now, const std::string& service, Job& job);
   void announce(Millis now, const std::string& service, Job& job, const InstanceId& id, std::uint64_t term);
@@ -102,7 +106,11 @@
   struct Departed {
     Instance instance;
     Millis since = 0;
+    int refusals = 0;  // in a row
+    bool gone() const { return refusals >= constants::kEndedRefusals; }
   };
+  Departed* departed(const InstanceId& id);
+  void note_departing(const std::string& service, Job& job);
   std::map<InstanceId, Instance> known_;
   std::vector<Departed> departed_;
   Out out_;
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -67,7 +67,10 @@
 constexpr std::int64_t kSuspectQuietMs = 1500;   // ms; an answered INFO clears suspicion for this long
 constexpr std::int64_t kSuspectWindowMs = 3000;  // ms; reports older than this no longer count
 constexpr std::int64_t kDepartedMs =
-    3000;  // ms; a database that has told of its end is asked this long; it ends within a second or two
+    10000;  // ms; one that has told of its end is asked until it is found gone, this long at most
+constexpr std::int64_t kUnaskedMs =
+    3000;  // ms; found gone this soon after it left, its log unknown: a crashed primary is back in that time
+constexpr int kEndedRefusals = 2;  // refusals in a row: ended; a single one may be a connection's reset
 constexpr int kBlindTries =
     3;  // tries to learn where a leaving primary stands; then the replicas alone count
 
@@ -190,8 +193,7 @@
 constexpr std::int64_t kTallyAskMs = 50;      // ms; many round trips: then it is asked again
 constexpr std::int64_t kTallyStepMost = 200;  // ms; one that stood still longer credits no more than this
 constexpr double kTallyPile = 0.6;  // of the burst: what may pile up at the cores; the rest is with the nodes
-constexpr double kTallyLeast =
-    3;  // operations; a core's share of the smallest allowance is worth asking for
+constexpr double kTallyLeast = 3;  // operations; a core's share of the smallest allowance is worth asking for
 constexpr double kTallyThreshold = 0.1;       // of a core's share: below it another core is asked
 constexpr std::int64_t kRightsLastMs = 1500;  // ms; what a node holds and does not use lapses
 constexpr double kRightsAheadS = 0.3;         // s; of its own use that a node asks for at once
