--- a/src/duty/failover.cc
+++ b/src/duty/failover.cc
@@ -26,19 +26,46 @@
 }
 
 // One that has told of its end goes on receiving until it ends: what it has received counts, unless the
-// primary tells what does.
+// primary tells what does. One that leads is asked in any case.
 std::vector<Instance> Failover::receivers(const std::string& service, const Job& job) {
   auto out = members(service);
-  if (!job.committed.none()) return out;
-  std::erase_if(departed_, [&](auto& d) { return now_ > d.since + kDepartedMs; });
-  for (auto& d : departed_)
-    if (d.instance.service == service) {
-      out.push_back(d.instance);
-      out.back().draining = true;
-    }
+  auto l = lead(service);
+  std::erase_if(departed_, [&](auto& d) {
+    return now_ > d.since + kDepartedMs || (d.gone() && now_ > d.since + kUnaskedMs);
+  });
+  for (auto& d : departed_) {
+    if (d.instance.service != service) continue;
+    if (!job.committed.none() && !(l && d.instance.id == l->primary)) continue;
+    out.push_back(d.instance);
+    out.back().draining = true;
+  }
   return out;
 }
 
+Failover::Departed* Failover::departed(const InstanceId& id) {
+  auto d = std::find_if(departed_.begin(), departed_.end(), [&](auto& x) { return x.instance.id == id; });
+  return d == departed_.end() ? nullptr : &*d;
+}
+
+// What those that leave have answered: their logs, and whether they have ended. A single refusal may be the
+// reset of a connection.
+void Failover::note_departing(const std::string& service, Job& job) {
+  for (auto& i : receivers(service, job)) {
+    auto r = job.replies.find(i.id);
+    if (r == job.replies.end()) continue;
+    bool row = r->second.kind == DbReply::Kind::kRow;
+    if (row && !r->second.info.primary) job.logs[i.id] = std::max(job.logs[i.id], r->second.info.received);
+    if (Departed* d = departed(i.id)) {
+      if (r->second.error.starts_with("WRONGNODE"))
+        d->refusals = kEndedRefusals;
+      else if (r->second.kind == DbReply::Kind::kRefused)
+        ++d->refusals;
+      else
+        d->refusals = 0;
+    }
+  }
+}
+
 std::optional<Lead> Failover::lead(const std::string& service) {
   const Lead* l = chart().lead(service);
   return l ? std::optional(*l) : std::nullopt;
@@ -155,12 +182,20 @@
       if (now < job.retry_at) return;
       auto primary = instance(l->primary);
       auto& all = chart().of(service);
-      bool successor = std::any_of(all.begin(), all.end(),
-                                   [&](const Instance* i) { return i->id != l->primary && !i->draining; });
-      if (!successor) return;
-      if (!primary) return begin(now, service, *l, false, "the primary has left");
-      if (primary->draining) return begin(now, service, *l, true, "the primary is leaving");
-      if (found_slow(service, l->primary)) {
+      bool other = std::any_of(all.begin(), all.end(), [&](auto* i) { return i->id != l->primary; });
+      bool successor =
+          std::any_of(all.begin(), all.end(), [&](auto* i) { return i->id != l->primary && !i->draining; });
+      // One that has told of its end and still runs tells what it has committed.
+      Departed* left = primary ? nullptr : departed(l->primary);
+      bool runs = left && !left->gone() && now <= left->since + kDepartedMs;
+      if (runs && !successor) return;
+      if (!primary && other) return begin(now, service, *l, runs, "the primary has left");
+      if (!primary) return;
+      // Where all others are leaving, one of them takes over from a dead primary all the same: it alone can
+      // hand its log on, while it runs.
+      if (!other) return;
+      if (primary->draining && successor) return begin(now, service, *l, true, "the primary is leaving");
+      if (successor && found_slow(service, l->primary)) {
         handed_over_[service] = now;
         return begin(now, service, *l, true, "the primary is slow");
       }
@@ -264,7 +299,9 @@
   // A primary that is said to be alive is waited for: what it has committed must not be left behind. One that
   // may be dead is asked as well, but not waited for: what it has acknowledged is on the replicas.
   bool wait = l->planned && !job.called && job.blind < kBlindTries;
-  auto whom = wait ? members(service) : receivers(service, job);
+  job.committed = {};  // what a primary told that has died since leaves out what others have received
+  auto whom = receivers(service, job);
+  if (wait) std::erase_if(whom, [&](auto& i) { return i.id != l->primary && !instance(i.id); });
   if (!wait) {
     for (auto& i : whom)
       if (i.id == l->primary) {
@@ -286,27 +323,49 @@
   std::uint64_t newest = l->term, old_term = 0;
   InstanceId leader;
   std::uint64_t leader_term = 0;
+  note_departing(service, job);
   for (auto& [id, r] : job.replies) {
     // Its address is another's by now: the database of that name is no more.
     if (r.error.starts_with("WRONGNODE")) out_.submit(leave_update(id), [](chain::Answer) {});
     if (r.kind != DbReply::Kind::kRow) continue;
     newest = std::max({newest, r.info.term, r.info.received.term, r.info.held});
+    const std::uint64_t known = std::max(l->term, job.follow_term);
+    if (id == l->primary && r.info.primary && known > 0 && r.info.term > known) {
+      leader = id, leader_term = r.info.term;  // it has been replaced and promoted again
+      continue;
+    }
     if (id == l->primary && r.info.primary) {
       old_term = r.info.term;
-      job.committed = r.info.received;
+      // Once a promote may have been called, it is the logs of all who received that count: what the primary
+      // has stored since, and nobody was told of, is no reason to let the others go on.
+      if (!job.called) job.committed = r.info.received;
     }
     if (id != l->primary && r.info.primary && r.info.term > leader_term)
       leader = id, leader_term = r.info.term;
   }
-  if (!leader.empty() && leader_term > old_term) return announce(now, service, job, leader, leader_term);
+  // Whoever still leads a term that has been followed by another has missed the promote, not won it.
+  if (!leader.empty() && leader_term > std::max(old_term, l->term))
+    return announce(now, service, job, leader, leader_term);
   if (newest == 0) return again(now, job);  // nobody told a term
-  bool alive = old_term > 0;
+  bool alive = job.alive = old_term > 0;
   if (!alive && l->planned && !job.called && ++job.blind < kBlindTries) return again(now, job);
   if (alive && !l->planned && !job.called) return abandon(now, service, job);
+  auto old = job.replies.find(l->primary);
+  job.follows = old != job.replies.end() && old->second.kind == DbReply::Kind::kRow && !alive;
+  if (job.follows) job.follow_term = std::max(job.follow_term, newest);
   std::vector<Instance> whom;
   for (auto& i : receivers(service, job))
-    if (i.id != l->primary) whom.push_back(i);
+    if (i.id != l->primary || job.follows) whom.push_back(i);
   if (whom.empty()) return again(now, job);
+  std::vector<Instance> former;
+  for (auto& i : whom)
+    if (auto r = job.replies.find(i.id); r != job.replies.end() && r->second.info.primary)
+      former.push_back(i);
+  if (!former.empty()) {
+    ++job.round;
+    return ask_all(service, job, former, "STEPDOWN " + std::to_string(newest),
+                   [this, service] { again(now_, jobs_[service]); });
+  }
   job.term = newest;
   go(job, Step::kPausing);
   ask_all(service, job, whom, "PAUSE " + std::to_string(newest + 1),
@@ -320,14 +379,15 @@
   std::optional<Position> furthest;
   bool missing = false;
   std::string out_of_reach;
+  note_departing(service, job);
   std::vector<Instance> whom;
   for (auto& i : receivers(service, job)) {
-    if (i.id == l->primary) continue;
+    if (i.id == l->primary && !job.follows) continue;
     auto r = job.replies.find(i.id);
-    // One that has told of its end, and has ended.
-    bool ended = r != job.replies.end() &&
-                 (r->second.kind == DbReply::Kind::kRefused || r->second.error.starts_with("WRONGNODE"));
-    if (ended && !chart().instance(i.id)) continue;
+    // One that has told of its end, and has ended. Where its log was never learnt, the primary may be back
+    // before long, and knows what was committed.
+    Departed* d = departed(i.id);
+    if (d && d->gone() && (job.logs.count(i.id) || now > d->since + kUnaskedMs)) continue;
     if (r == job.replies.end() || r->second.kind != DbReply::Kind::kRow) {
       missing = true;
       const char* how[] = {"a row", "an error", "a refusal", "silence"};
@@ -339,21 +399,35 @@
     whom.push_back(i);
     if (!furthest || r->second.info.received > *furthest) furthest = r->second.info.received;
   }
-  auto former = instance(l->primary);
+  auto former = instance(l->primary);  // it may lead, follow or be gone
   if (missing && l->planned && former && !former->draining && !job.called) return abandon(now, service, job);
   if (whom.empty() || (missing && must_have_all)) {
     // Which commits the one out of reach holds is not known: nothing is promoted over it.
     if (now > job.since) out_.note("Failover of " + service + " waits: " + out_of_reach + ".");
     return again(now, job);
   }
-  // Once a promote may have been called, nobody is let go again: it may still take effect.
-  if (*furthest < job.committed && !job.called) {
+  // What one that left took along is nowhere but in the log of the primary. Nodes pass no commit on as kept
+  // meanwhile, so to let the others receive lets nothing be acknowledged.
+  for (auto& [id, position] : job.logs) {
+    bool here = std::any_of(whom.begin(), whom.end(), [&](auto& i) { return i.id == id; });
+    if (here || !must_have_all || !former || position <= *furthest || !job.committed.none()) continue;
+    out_.note("Failover of " + service + " waits: " + id.value + " has ended and had received " +
+              position.text() + ", the others " + furthest->text() + ".");
+    if (!job.alive) return again(now, job);
+    // Where the others don't take it from there, because they know of a promote whose lead has ended since,
+    // the former primary follows as well, and is the furthest.
+    if (++job.unheard > kBlindTries) {
+      ++job.round;
+      return ask_all(service, job, {*former}, "STEPDOWN " + std::to_string(job.term + 1),
+                     [this, service] { again(now_, jobs_[service]); });
+    }
+    return receive_more(service, job, whom);
+  }
+  if (*furthest < job.committed) {
     // Something was committed with the help of a database that is not known here: let the others receive it.
     out_.note("Failover of " + service + " waits: the replicas stand at " + furthest->text() +
               ", the primary at " + job.committed.text() + ".");
-    ++job.round;
-    ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
-    return;
+    return receive_more(service, job, whom);
   }
   const Instance* best = nullptr;
   for (auto& i : whom) {
@@ -365,16 +439,17 @@
   if (best->draining && l->planned && !job.called) {
     bool other = std::any_of(whom.begin(), whom.end(), [](auto& i) { return !i.draining; });
     // One that stays will have caught up in a moment: let the replicas receive once more.
-    if (other) {
-      ++job.round;
-      ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
-      return;
-    }
+    if (other) return receive_more(service, job, whom);
   }
   job.successor = best->id;
   promote(now, service, job);
 }
 
+void Failover::receive_more(const std::string& service, Job& job, const std::vector<Instance>& whom) {
+  ++job.round;
+  ask_all(service, job, whom, "CONTINUE", [this, service] { again(now_, jobs_[service]); });
+}
+
 void Failover::promote(Millis now, const std::string& service, Job& job) {
   if (!out_.holds()) return go(job, Step::kIdle);
   go(job, Step::kPromoting);
@@ -403,6 +478,7 @@
 
 void Failover::confirm_lead(Millis now, const std::string& service, Job& job) {
   auto i = instance(job.successor);
+  if (Departed* d = departed(job.successor); !i && d) i = d->instance;
   if (!i) return again(now, job);
   go(job, Step::kFinishing);
   std::uint64_t round = job.round;
@@ -449,6 +525,14 @@
   std::vector<Instance> whom;
   for (auto& i : members(service))
     if (i.id != l->primary && !r.done.count(i.id)) whom.push_back(i);
+  if (whom.empty() && !r.twice) {  // a PAUSE that went unanswered may arrive after the first CONTINUE
+    r.twice = true;
+    r.tries = 0;
+    r.done.clear();
+    r.refusals.clear();
+    r.retry_at = now + kLateStatementMs;
+    return;
+  }
   if (whom.empty()) {
     const Row* row = ledger_.find(lead_key(service));
     Lead next = *l;
@@ -464,16 +548,20 @@
       auto it = releases_.find(service);
       if (it == releases_.end() || it->second.serial != serial) return;
       --it->second.awaited;
-      // A process that is gone holds nothing; one that comes back has started anew.
-      if (reply.kind == DbReply::Kind::kRow || reply.kind == DbReply::Kind::kRefused)
-        it->second.done.insert(id);
+      // A process that is gone holds nothing; one that comes back has started anew. A single refusal may be
+      // the reset of a connection.
+      auto& refusals = it->second.refusals[id];
+      refusals = reply.kind == DbReply::Kind::kRefused ? refusals + 1 : 0;
+      if (reply.kind == DbReply::Kind::kRow || refusals >= kEndedRefusals) it->second.done.insert(id);
     };
     if (!i.primary) {
       out_.ask(i, "CONTINUE", done);
       continue;
     }
     // What it last said of itself may be old: it may lead still, or be held by now.
-    out_.ask(i, "STEPDOWN " + std::to_string(l->term), [this, i, done](DbReply reply) {
+    out_.ask(i, "STEPDOWN " + std::to_string(l->term), [this, i, service, serial, done](DbReply reply) {
+      auto it = releases_.find(service);
+      if (it == releases_.end() || it->second.serial != serial) return;  // another switch has begun
       if (reply.kind == DbReply::Kind::kRow)
         out_.ask(i, "CONTINUE", done);
       else
