--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -51,6 +51,10 @@
     300;  // ms; a few round trips and syncs between zones, then a new ballot
 constexpr std::int64_t kJoinStableMs =
     600;  // ms; a returning core is heard for two beats before it is let in
+constexpr std::uint64_t kMaxNumber =
+    1ull << 62;  // changes, views, ballots; no count comes near it, and sums of two do not run over
+constexpr std::int64_t kHandOverMs =
+    3000;  // ms; a core that ends waits this long for its successor: half of the usual grace period
 constexpr std::int64_t kSubmitRetryMs = 300;   // ms; an update unanswered this long is offered again
 constexpr std::int64_t kSubmitGiveUpMs = 900;  // ms; callers count a second of silence as a failure
 
