--- a/tests/worst_days_test.cc
+++ b/tests/worst_days_test.cc
@@ -660,6 +660,45 @@
   std::printf("handed over in %d ms at most\n", int(longest));
 }
 
+// It waits until as many know that it votes no more as can take the next loss.
+TEST(WorstDays, WhoLeavesIsNotTheOnlyOneToKnowTheNewVoters) {
+  Days d(13581, 4, 3, 1);
+  d.go(3000);
+  Node& head = d.at("core0");
+  ASSERT_TRUE(head.leads(d.now()));
+  head.part(d.now());
+  for (Millis end = d.now() + 2000; d.now() < end && head.view().votes("core0");) d.go(1);
+  ASSERT_FALSE(head.view().votes("core0"));
+  EXPECT_FALSE(head.may_go(d.now()));
+  d.go(500);
+  EXPECT_TRUE(head.may_go(d.now()));
+}
+
+// The second member dies, with its disk, just as a view is decided: those behind it have no state, and are
+// not to blame for that.
+TEST(WorstDays, ALossRightAfterADecidedViewDoesNotStopTheCore) {
+  for (std::uint32_t seed = 1; seed <= 20 && !testing::Test::HasFailure(); ++seed) {
+    SCOPED_TRACE(seed);
+    Days d(seed, 5, 3, 2);
+    d.go(6000);
+    std::string last = chain::host_of(d.newest().view().tail());
+    d.cut_off(last, true);
+    d.go(3000);
+    d.net.cuts.clear();
+    auto number = d.newest().view().number;
+    for (Millis end = d.now() + 3000; d.now() < end && d.newest().view().number == number;) d.go(1);
+    std::string second = chain::host_of(d.newest().view().members[1].name);
+    d.stop(second, true);
+    d.go(10 * Millis(seed));
+    d.start(second);
+    d.go(6000);
+    d.whole(5);
+    d.busy = true;
+    d.go(2000);
+    EXPECT_GT(d.answered, 0);
+  }
+}
+
 TEST(WorstDays, WithoutOneThatStandsByItGoesAtOnce) {
   Days d(2, 3, 3, 1);
   d.go(2000);
