Orders: a ring of 4,096 changes that were taken, told apart by XXH3; final refusals only

Its marks knew a PUT by its bytes alone, so that a replaced version offered as a new order was acknowledged and not in force. An order on a version above the one in place was refused, though it may be on its way.

Change: one row a change in a ring (src/ordinance/taken.h), found by the version it builds on; digest XXH3, 128 bits, over kind, If-Match and body. What is unclear is 503. The list of a former version is read as long as it is there.

--- a/src/harbourmaster/harbourmaster.cc
+++ b/src/harbourmaster/harbourmaster.cc
@@ -556,13 +556,20 @@
   } else {
     return done(plain(400, "If-Match is missing"));
   }
-  const bool patch = r.method == "PATCH";  // judged whole by the head, which holds what it builds on
-  auto checked = patch ? Outcome<Configuration>::ok({}) : read_configuration(r.body);
-  if (!checked) {
-    note("A configuration was refused: " + checked.reason + ".");
-    return done(plain(400, checked.reason));
+  // What no state makes sound is refused here. All else is the head's to judge, under its lease.
+  const bool patch = r.method == "PATCH";
+  std::uint64_t revision = 0;
+  std::string wrong;
+  if (patch)
+    wrong = wrong_with_patch(r.body);
+  else if (auto read = read_configuration(r.body))
+    revision = read.value->revision;
+  else
+    wrong = read.reason;
+  if (!wrong.empty()) {
+    note("A configuration was refused: " + wrong + ".");
+    return done(plain(400, wrong));
   }
-  std::uint64_t revision = checked.value->revision;
   // What is acknowledged must bear the losses asked for: the first one waits until the voters are complete.
   if (!node_->ledger().find(kConfigKey) && !node_->full_strength() && loop_.now() < born_ + kGrowWaitMs)
     return done(plain(503, "the core is still growing"));
--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -31,7 +31,9 @@
     4000;  // ms; the first configuration waits this long for all voters: inside the operator's patience
 constexpr std::uint64_t kBallotStep = 16;  // ballots; more than there are voters, so that no two share one
 constexpr std::size_t kTakenKept =
-    64;  // configurations taken of late that are known again; offers are repeated for seconds, not minutes
+    4096;  // changes on record; hours at 41,000 a day, a minute if each only waits for the one before it:
+           // longer than anyone repeats an order. An older one is not refused but left unclear. It is the
+           // size of the ring on the disk: another size needs another key
 constexpr std::size_t kEventsKept = 60;      // sentences a core keeps for status: some minutes of trouble
 constexpr std::int64_t kDiskRetryMs = 300;   // ms; pause between tries of a disk that refused a write
 constexpr std::int64_t kDriftMarginMs = 50;  // ms; clock drift and late timers over the longest lease
@@ -190,8 +192,7 @@
 constexpr std::int64_t kTallyAskMs = 50;      // ms; many round trips: then it is asked again
 constexpr std::int64_t kTallyStepMost = 200;  // ms; one that stood still longer credits no more than this
 constexpr double kTallyPile = 0.6;  // of the burst: what may pile up at the cores; the rest is with the nodes
-constexpr double kTallyLeast =
-    3;  // operations; a core's share of the smallest allowance is worth asking for
+constexpr double kTallyLeast = 3;  // operations; a core's share of the smallest allowance is worth asking for
 constexpr double kTallyThreshold = 0.1;       // of a core's share: below it another core is asked
 constexpr std::int64_t kRightsLastMs = 1500;  // ms; what a node holds and does not use lapses
 constexpr double kRightsAheadS = 0.3;         // s; of its own use that a node asks for at once
--- a/src/ordinance/ordinance.cc
+++ b/src/ordinance/ordinance.cc
@@ -1,51 +1,53 @@
 #include "ordinance/ordinance.h"
 
-#include <algorithm>
-
 #include "keel/constants.h"
+#include "ordinance/taken.h"
 
 namespace pebblespindle {
 namespace {
 
 using chain::Verdict;
 
-// What tells one configuration from another: its length and a hash (FNV-1a, 64 bits).
-std::string mark_of(const std::string& body) {
-  std::uint64_t h = 14695981039346656037ull;
-  for (unsigned char c : body) h = (h ^ c) * 1099511628211ull;
-  return std::to_string(body.size()) + "." + std::to_string(h);
-}
-
-// PUT brings a whole; PATCH what is to change in the whole that is in place.
+// PUT brings a whole; PATCH what is to change in the whole that is in place. A refusal is final, so it is
+// given only where no later state could answer otherwise: versions rise, and each has one successor.
 Verdict judge_config(const Ledger& ledger, const Json& u) {
   const std::string sent = u.value("body", "");
   const bool patch = u.value("op", "") == "patch";
+  const std::uint64_t base = u.value("base", std::uint64_t(0));
   const Row* now = ledger.find(kConfigKey);
   if (!patch && now && now->value == sent) return {};
-  // One that was taken and replaced since is answered as taken: whoever offers it again has not heard.
-  const std::uint64_t base = u.value("base", std::uint64_t(0));
-  Json taken = Json::array();
-  if (const Row* t = ledger.find(kTakenKey)) taken = Json::parse(t->value);
-  const std::string mark = patch ? mark_of("patch " + std::to_string(base) + " " + sent) : mark_of(sent);
-  if (std::find(taken.begin(), taken.end(), Json(mark)) != taken.end()) return {};
   Configuration in_place;
   if (const Row* head = ledger.find(kConfigHeadKey)) enter_part(in_place, head->key, &head->value, {});
   const std::uint64_t current = in_place.revision;
-  std::string body = sent;
+  const Verdict another{412, "the version in place is " + std::to_string(current), {}};
+  if (base < current) {
+    // One that was taken, and perhaps replaced since, is answered as taken: whoever offers it again has not
+    // heard.
+    const Fate fate = fate_of(ledger, patch, base, sent);
+    if (fate == Fate::kTaken) return {};
+    if (fate == Fate::kUnknown)
+      return {503, "version " + std::to_string(base) + " is no longer on record", {}};
+    return another;
+  }
+  const Verdict on_its_way{503, another.reason, {}};  // what it builds on may be
+  std::string body;
   if (patch) {
-    if (base != current || !now) return {412, "the version in place is " + std::to_string(current), {}};
+    auto wrong = base > current ? wrong_with_patch(sent) : std::string();
+    if (!wrong.empty()) return {400, wrong, {}};
+    if (base > current) return on_its_way;
+    if (!now) return another;
     auto whole = patched(now->value, sent);
     if (!whole) return {400, whole.reason, {}};
     body = std::move(*whole.value);
   }
-  auto next = read_configuration(body);
+  const std::string& whole = patch ? body : sent;
+  auto next = read_configuration(whole);
   if (!next) return {400, next.reason, {}};
-  if (base != current) return {412, "the version in place is " + std::to_string(current), {}};
-  if (next.value->revision <= current) return {400, "Revision is not above " + std::to_string(current), {}};
+  if (next.value->revision <= base) return {400, "Revision is not above " + std::to_string(base), {}};
+  if (base > current) return on_its_way;
   // Nodes are told what has changed, whatever the size of the whole.
-  taken.push_back(mark);
-  if (taken.size() > constants::kTakenKept) taken.erase(taken.begin());
-  Verdict v{200, {}, {{kConfigKey, body, 0, false}, {kTakenKey, taken.dump(), 0, false}}};
+  Verdict v{200, {}, taken_rows(ledger, patch, base, next.value->revision, sent)};
+  v.rows.push_back({kConfigKey, whole, 0, false});
   auto parts = configuration_parts(*next.value);
   for (auto& prefix : {kServicePrefix, kRoutePrefix, kTenantPrefix})
     ledger.each(prefix, [&](const Row& r) {
@@ -124,9 +126,9 @@
   std::vector<Json> pieces;
   std::size_t size = constants::kPieceBytes;
   for (auto& r : rows) {
-    // The body as sent and the list of those taken are for the cores; a whole state does not name what is
+    // The body as sent and the record of those taken are for the cores; a whole state does not name what is
     // gone.
-    if (r.key == kConfigKey || r.key == kTakenKey || (from == 0 && r.gone)) continue;
+    if (r.key == kConfigKey || r.key.starts_with(kTakenKey) || (from == 0 && r.gone)) continue;
     if (size >= constants::kPieceBytes) pieces.push_back(Json::array()), size = 0;
     Json row = Json::array({r.key, r.number});
     if (!r.gone) row.push_back(r.value);
--- a/src/ordinance/records.h
+++ b/src/ordinance/records.h
@@ -53,6 +53,8 @@
 
 // Reads and checks a configuration as the operator sends it.
 Outcome<Configuration> read_configuration(std::string_view text);
+// What no whole could make sound in a change of named items; empty when there is nothing.
+std::string wrong_with_patch(std::string_view patch);
 // The whole that a change of named items makes of a whole.
 Outcome<std::string> patched(const std::string& whole, std::string_view patch);
 
@@ -83,9 +85,9 @@
 
 // A configuration stands in the ledger twice: as it was sent, which cores alone keep, and in parts, of which
 // nodes are told what a change has changed: a head, a row a service and a row a route.
-// Beside it stands a list of those taken of late.
-inline const std::string kConfigKey = "c", kTakenKey = "t", kConfigHeadKey = "h", kServicePrefix = "v/",
-                         kRoutePrefix = "r/", kTenantPrefix = "k/";
+// Beside it stands a record of those taken of late (taken.h).
+inline const std::string kConfigKey = "c", kConfigHeadKey = "h", kServicePrefix = "v/", kRoutePrefix = "r/",
+                         kTenantPrefix = "k/";
 std::map<std::string, std::string> configuration_parts(const Configuration& c);  // values by key
 // Enters a part into a configuration; routes are handed out. False: not a part of one.
 bool enter_part(Configuration& c, const std::string& key, const std::string* value,
