--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -34,7 +34,9 @@
     4000;  // ms; the first configuration waits this long for all voters: inside the operator's patience
 constexpr std::uint64_t kBallotStep = 16;  // ballots; more than there are voters, so that no two share one
 constexpr std::size_t kTakenKept =
-    64;  // configurations taken of late that are known again; offers are repeated for seconds, not minutes
+    4096;  // changes on record; hours at 41,000 a day, a minute if each only waits for the one before it:
+           // longer than anyone repeats an order. An older one is not refused but left unclear. It is the
+           // size of the ring on the disk: another size needs another key
 constexpr std::size_t kTermsKept =
     64;  // terms of heads; more changes of the head than this behind, a core takes a whole state
 constexpr std::int64_t kStateAskMs =
