--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -148,6 +148,11 @@
 // --- lighter ----------------------------------------------------------------
 constexpr std::size_t kMaxFrameBytes = 16 << 20;  // bytes; a request or answer between two lighters, whole
 constexpr std::size_t kMaxCallBytes = 8 << 20;  // bytes; a body held whole: a few fit into a sidecar's memory
+constexpr std::size_t kMaxAnswerHeadBytes =
+    65536;                      // bytes; a database's answer has a few fields, never as many as this
+constexpr int kFrameDepth = 4;  // levels; a frame holds lists of fields and nothing deeper
+constexpr std::int64_t kMostWaitMs =
+    3'600'000;  // ms; no client waits an hour: what a peer's frame says beyond it is a fault
 constexpr double kBudgetShare =
     0.75;  // of the fleet's budget: the rest is for windows that slide unlike ours
 constexpr std::int64_t kBudgetSlotMs = 100;   // ms; a hundredth of a window: its edge is sharp enough
@@ -164,6 +169,7 @@
 constexpr std::size_t kLooked = 4;      // databases compared in a zone; more would send all to the same
 constexpr double kIllCost = 6.0;        // of the slots; what a database that always fails costs more
 constexpr std::int64_t kRankMs = 60;    // ms; a rank below another counts as an aim that ends this much later
+constexpr std::int64_t kRanks = 100;    // ranks; more than any configuration has
 constexpr double kWaitShare = 0.7;      // of the aim; a request that has not begun to run by then is refused
 constexpr std::int64_t kHedgeLeastMs = 40;  // ms; no second database is asked sooner
 constexpr double kHedgeSpread = 4.0;        // mean deviations over the mean answer before one is missed
@@ -190,8 +196,7 @@
 constexpr std::int64_t kTallyAskMs = 50;      // ms; many round trips: then it is asked again
 constexpr std::int64_t kTallyStepMost = 200;  // ms; one that stood still longer credits no more than this
 constexpr double kTallyPile = 0.6;  // of the burst: what may pile up at the cores; the rest is with the nodes
-constexpr double kTallyLeast =
-    3;  // operations; a core's share of the smallest allowance is worth asking for
+constexpr double kTallyLeast = 3;  // operations; a core's share of the smallest allowance is worth asking for
 constexpr double kTallyThreshold = 0.1;       // of a core's share: below it another core is asked
 constexpr std::int64_t kRightsLastMs = 1500;  // ms; what a node holds and does not use lapses
 constexpr double kRightsAheadS = 0.3;         // s; of its own use that a node asks for at once
--- a/src/keel/http.cc
+++ b/src/keel/http.cc
@@ -64,17 +64,20 @@
       return read();
     }
     if (state != HttpReader::State::kDone) {
-      close_ = true;
+      close_ = due_ = true;
       return answer({state == HttpReader::State::kBad ? 400 : 413, "", {}});
     }
     pending_.erase(0, took);
     HttpMessage m = in_.take();
     close_ = !m.keep_alive;
+    due_ = true;
     auto self = shared_from_this();
     (*handler_)({m.method, m.target, std::move(m.body), by_name(m.fields)},
                 [self](HttpReply r) { self->answer(std::move(r)); });
   }
+  // The next request is read only once this one is answered: answers keep the order of the requests.
   void answer(HttpReply r) {
+    if (!std::exchange(due_, false)) return;
     if (!r.body.empty() && !r.headers.count("Content-Type")) r.headers["Content-Type"] = "application/json";
     if (close_) r.headers["Connection"] = "close";
     auto out =
@@ -91,7 +94,7 @@
   std::shared_ptr<HttpHandler> handler_;
   HttpReader in_{HttpReader::Kind::kRequests, constants::kMaxHttpHeaderBytes, constants::kMaxHttpBodyBytes};
   std::string pending_;
-  bool close_ = false;
+  bool close_ = false, due_ = false;
 };
 
 struct ClientCall : std::enable_shared_from_this<ClientCall> {
@@ -113,16 +116,21 @@
     d(std::move(r));
   }
   void read() {
-    socket.async_read_some(
-        asio::buffer(chunk), [self = shared_from_this()](const asio::error_code& ec, size_t n) {
-          if (ec) return self->finish({0, "", {}});
-          std::size_t took = 0;
-          auto state = self->in.feed({self->chunk, n}, took);
-          if (state == HttpReader::State::kMore) return self->read();
-          if (state != HttpReader::State::kDone) return self->finish({0, "", {}});
-          HttpMessage m = self->in.take();
-          self->finish({m.status, std::move(m.body), by_name(m.fields)});
-        });
+    socket.async_read_some(asio::buffer(chunk),
+                           [self = shared_from_this()](const asio::error_code& ec, size_t n) {
+                             if (ec) return self->finish({0, "", {}});
+                             for (std::string_view rest(self->chunk, n); !rest.empty();) {
+                               std::size_t took = 0;
+                               auto state = self->in.feed(rest, took);
+                               if (state == HttpReader::State::kMore) break;
+                               if (state != HttpReader::State::kDone) return self->finish({0, "", {}});
+                               rest.remove_prefix(took);
+                               HttpMessage m = self->in.take();
+                               if (m.status >= 200)
+                                 return self->finish({m.status, std::move(m.body), by_name(m.fields)});
+                             }
+                             self->read();
+                           });
   }
 };
 
@@ -159,6 +167,10 @@
   });
   asio::error_code ec;
   auto address = asio::ip::make_address(to.host, ec);
+  if (ec) {  // else it would go to whoever listens on this machine
+    asio::post(io, [call] { call->finish({0, "", {}}); });
+    return;
+  }
   call->socket.async_connect(tcp::endpoint(address, to.port), [call, may](const asio::error_code& e) {
     if (e) return call->finish({0, "", {}});
     if (may && !may()) return call->finish({kNotSent, "", {}});
--- a/src/keel/http_reader.cc
+++ b/src/keel/http_reader.cc
@@ -39,19 +39,23 @@
   };
   settings_.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
     auto& r = self(p);
+    if (r.head_done_) return 0;  // a trailer: nothing behind a body changes what was said before it
     if (r.in_value_ || r.message_.fields.empty()) r.message_.fields.emplace_back();
     r.in_value_ = false;
     return r.grow(r.message_.fields.back().first, at, n);
   };
   settings_.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
     auto& r = self(p);
+    if (r.head_done_) return 0;
     r.in_value_ = true;
     return r.grow(r.message_.fields.back().second, at, n);
   };
   settings_.on_headers_complete = [](http_parser* p) {
     auto& r = self(p);
     r.head_done_ = true;
-    return r.no_body_ ? 1 : 0;
+    // The library goes by a length even where the status says that there is no body.
+    const unsigned status = p->type == HTTP_RESPONSE ? p->status_code : 200;
+    return r.no_body_ || status / 100 == 1 || status == 204 || status == 304 ? 1 : 0;
   };
   settings_.on_body = [](http_parser* p, const char* at, std::size_t n) {
     auto& r = self(p);
--- a/src/keel/line_conn.cc
+++ b/src/keel/line_conn.cc
@@ -147,8 +147,7 @@
   if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return end(End::kReset);
   if (n == out_.size()) {
     out_ = std::string();
-    if (closing_) close();
-    return;
+    return drained();
   }
   flight_ = out_.substr(n);
   out_ = std::string();
@@ -159,10 +158,17 @@
                       self->flight_ = std::string();
                       if (!self->open_) return;
                       if (e) return self->end(End::kReset);
+                      if (self->out_.empty()) return self->drained();
                       self->flush();
                     });
 }
 
+void LineConn::drained() {
+  auto self = shared_from_this();
+  if (closing_) close();
+  if (h_.on_drained) h_.on_drained();
+}
+
 void LineConn::end(End why) {
   if (!open_) return;
   auto on_end = std::move(h_.on_end);
--- a/src/keel/line_conn.h
+++ b/src/keel/line_conn.h
@@ -19,6 +19,7 @@
     std::function<void(std::string_view line)> on_line;  // without its CR LF; or a frame, or bytes
     std::function<void(End)> on_end;                     // once, unless closed from this side
     std::function<void()> on_batch;                      // after the lines of one read
+    std::function<void()> on_drained = {};               // all that was sent is written; or it was the last
   };
 
   LineConn(asio::ip::tcp::socket socket, std::size_t max_line, Kind kind = Kind::kLines);
@@ -41,6 +42,7 @@
   void on_readable();
   bool hand_on(std::string_view joined, std::size_t& from);
   void flush();
+  void drained();
   void end(End why);
   asio::ip::tcp::socket socket_;
   std::size_t max_line_;
--- /dev/null
+++ b/src/lighter/app_reader.h
@@ -0,0 +1,23 @@
+// What a database says on one connection, as answers. No I/O.
+#pragma once
+#include "keel/types.h"
+#include "lighter/call.h"
+
+namespace pebblespindle::lighter {
+
+class AppReader {
+ public:
+  AppReader();
+  struct Answer {
+    Reply reply;
+    Millis keep_ms = 0;  // how long the connection may rest; 0: not said; below 0: it ends with this answer
+  };
+  void asked(bool head) { reader_.no_body(head); }  // a request leaves; whether it asks for a head only
+  // False: what came is not HTTP. What was complete before it is in `out`.
+  bool feed(std::string_view bytes, std::vector<Answer>& out);
+
+ private:
+  HttpReader reader_;
+};
+
+}  // namespace pebblespindle::lighter
--- a/src/lighter/call.cc
+++ b/src/lighter/call.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lighter/frame.h"
+
 namespace pebblespindle::lighter {
 
 HttpFields end_to_end(const HttpFields& fields) {
@@ -45,7 +47,10 @@
   HttpFields out;
   if (!j.is_array()) return out;
   for (std::size_t i = 0; i + 1 < j.size(); i += 2)
-    if (j[i].is_string() && j[i + 1].is_string()) out.emplace_back(j[i], j[i + 1]);
+    if (j[i].is_string() && j[i + 1].is_string()) {
+      std::string name = j[i], value = j[i + 1];
+      if (one_word(name) && one_line(value)) out.emplace_back(std::move(name), std::move(value));
+    }
   return out;
 }
 
@@ -81,7 +86,9 @@
   std::string out = "HTTP/1.1 " + std::to_string(r.status) + " " + (reason ? reason : "Status") + "\r\n";
   append_fields(out, r.fields);
   if (close) out += "Connection: close\r\n";
-  if (r.status != 204 && r.status != 304) out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
+  // The answer to a HEAD has no body here to take a length from.
+  if (!no_body && r.status != 204 && r.status != 304)
+    out += "Content-Length: " + std::to_string(r.body.size()) + "\r\n";
   out += "\r\n";
   if (!no_body && r.status != 204 && r.status != 304) out += r.body;
   return out;
--- /dev/null
+++ b/src/lighter/frame.h
@@ -0,0 +1,23 @@
+// The frames between lighters, as bytes and as values. What another process has sent is not believed: nothing
+// here throws, nests deeply or leaves a figure that cannot be.
+#pragma once
+#include <optional>
+
+#include "lighter/call.h"
+
+namespace pebblespindle::lighter {
+
+std::string packed(const Json& j);
+std::optional<Json> unpacked(std::string_view bytes);
+
+// A figure inside its bounds, whatever was sent.
+Millis figure(const Json& m, const char* key, Millis otherwise, Millis least, Millis most);
+std::uint64_t number(const Json& m, const char* key);  // 0: none
+std::string text(const Json& m, const char* key);
+bool flag(const Json& m, const char* key);
+
+// Whether it can be written into the head of a message without becoming two.
+bool one_line(std::string_view s);
+bool one_word(std::string_view s);
+
+}  // namespace pebblespindle::lighter
--- a/src/lighter/front.cc
+++ b/src/lighter/front.cc
@@ -15,75 +15,52 @@
 }
 
 void Front::accept(asio::ip::tcp::socket socket) {
-  const Limits& l = out_.limits();
-  auto c = std::make_shared<Client>(l.header_bytes, std::min(l.body_bytes, kMaxCallBytes));
+  auto c = std::make_shared<Client>(out_.limits());
   c->conn = std::make_shared<LineConn>(std::move(socket), kMaxCallBytes, LineConn::Kind::kBytes);
+  if (leaving_) c->line.leave();
   clients_[c.get()] = c;
   c->conn->start({[this, c](std::string_view bytes) { read(c, bytes); },
-                  [this, c](LineConn::End) { ended(c); }, [this] { loop_.rearm(); }});
+                  [this, c](LineConn::End) { ended(c); }, [this] { loop_.rearm(); },
+                  [this, c] { written(c); }});
   watch(c);
 }
 
-// A head must be complete in time, and a connection may rest only so long.
+// A head must be complete in time; a body may go on as long as it moves; a connection may rest only so long.
 void Front::watch(const Ptr& c) {
   loop_.timers().cancel(c->timer);
-  if (c->closing || (!c->reader.begun() && !c->places.empty())) return;
-  bool begun = c->reader.begun();
-  Millis most = begun ? out_.limits().header_ms : out_.limits().idle_ms;
-  c->timer = loop_.timers().at(loop_.now() + most, [this, c, begun] {
+  if (c->line.waits() == Pipeline::Waits::kNothing && !c->line.over()) return;
+  const Limits& l = out_.limits();
+  Millis most = c->line.waits() == Pipeline::Waits::kHead ? l.header_ms : l.idle_ms;
+  c->timer = loop_.timers().at(loop_.now() + most, [this, c] {
     c->timer = 0;
-    if (begun) return refuse(c, 408);
-    c->closing = true;
-    c->conn->close_after_flush();
-    clients_.erase(c.get());
+    on_timer(c);
   });
   loop_.rearm();
 }
 
-void Front::read(const Ptr& c, std::string_view bytes) {
-  bool was_begun = c->reader.begun();
-  while (!c->closing && !bytes.empty()) {
-    std::size_t took = 0;
-    switch (c->reader.feed(bytes, took)) {
-      case HttpReader::State::kMore:
-        bytes = {};
-        break;
-      case HttpReader::State::kDone:
-        bytes.remove_prefix(took);
-        take(c, c->reader.take());
-        was_begun = false;
-        break;
-      case HttpReader::State::kBad:
-        return refuse(c, 400);
-      case HttpReader::State::kHeadTooLong:
-        return refuse(c, 431);
-      case HttpReader::State::kBodyTooLong:
-        return refuse(c, 413);
-    }
+void Front::on_timer(const Ptr& c) {
+  if (c->line.over()) {  // its client takes nothing
+    c->conn->close();
+    return ended(c);
   }
-  if (c->closing) return;
-  if (c->places.size() > kBacklogLines) c->conn->pause(true);
-  if (c->reader.begun() != was_begun || !c->reader.begun()) watch(c);
-}
-
-// What cannot be understood is answered after all that came before it, and ends the connection.
-void Front::refuse(const Ptr& c, int status) {
-  if (c->closing) return;
-  c->closing = true;
-  c->places.push_back({0, true, true, false, own_reply(status)});
-  flush(c);
+  // The client's rest begins when the answer has left.
+  if (c->line.resting() && c->conn->queued() > 0) return watch(c);
+  write(c, c->line.expired());
 }
 
-void Front::take(const Ptr& c, HttpMessage m) {
-  // Two lengths, two hosts or a length beside pieces: what one reader takes for the end another may not.
-  if (count_fields(m.fields, "Host") != 1 || count_fields(m.fields, "Content-Length") > 1 ||
-      (find_field(m.fields, "Transfer-Encoding") && find_field(m.fields, "Content-Length")))
-    return refuse(c, 400);
-  CallId id = ++last_;
-  c->places.push_back({id, false, !m.keep_alive || leaving_, m.method == "HEAD", {}});
-  if (!m.keep_alive || leaving_) c->closing = true;
-  calls_[id] = c;
-  out_.call(id, {m.method, m.target, std::move(m.body), end_to_end(m.fields)});
+void Front::read(const Ptr& c, std::string_view bytes) {
+  c->line.limits(out_.limits());
+  const auto before = c->line.waits();
+  std::string out;
+  auto asked = c->line.read(bytes, last_, out);
+  for (auto& a : asked) calls_[a.id] = c;
+  if (!out.empty() || c->line.over()) write(c, out);
+  for (auto& a : asked)
+    if (calls_.count(a.id)) out_.call(a.id, std::move(a.call));
+  if (c->line.over()) return;
+  if (c->line.waiting() > kBacklogLines || c->conn->queued() > kBackpressureBytes) c->conn->pause(true);
+  const auto now = c->line.waits();
+  if (now != before || !asked.empty() || now == Pipeline::Waits::kBody) watch(c);
 }
 
 void Front::answer(CallId id, Reply r) {
@@ -91,57 +68,50 @@
   if (it == calls_.end()) return;
   Ptr c = it->second;
   calls_.erase(it);
-  for (auto& p : c->places)
-    if (p.id == id) p.done = true, p.reply = std::move(r);
-  flush(c);
+  write(c, c->line.answer(id, std::move(r)));
 }
 
-void Front::flush(const Ptr& c) {
-  bool sent = false;
-  while (!c->places.empty() && c->places.front().done) {
-    Place p = std::move(c->places.front());
-    c->places.pop_front();
-    bool close = p.close || (leaving_ && c->places.empty());
-    c->conn->send(reply_bytes(p.reply, close, p.no_body));
-    sent = true;
-    if (!close) continue;
-    // Requests behind this one count as not read.
-    c->closing = true;
-    for (auto& rest : c->places)
-      if (rest.id && calls_.erase(rest.id)) out_.gone(rest.id);
-    c->places.clear();
-    loop_.timers().cancel(c->timer);
+void Front::write(const Ptr& c, const std::string& bytes) {
+  if (!bytes.empty()) c->conn->send(bytes);
+  if (c->line.over()) {
+    watch(c);
     c->conn->close_after_flush();
-    clients_.erase(c.get());
+    if (!c->conn->open()) ended(c);
     return;
   }
-  if (!sent) return;
-  c->conn->pause(false);
+  if (!bytes.empty()) watch(c);
+}
+
+// All that was sent is out: the client may go on, or the connection has ended.
+void Front::written(const Ptr& c) {
+  if (!c->conn->open()) return ended(c);
+  if (c->line.waiting() <= kBacklogLines) c->conn->pause(false);
   watch(c);
 }
 
 void Front::ended(const Ptr& c) {
   loop_.timers().cancel(c->timer);
-  c->closing = true;
-  for (auto& p : c->places)
-    if (p.id && calls_.erase(p.id)) out_.gone(p.id);
-  c->places.clear();
+  for (auto id : c->line.open())
+    if (calls_.erase(id)) out_.gone(id);
   clients_.erase(c.get());
   loop_.rearm();
 }
 
+std::size_t Front::waiting() const {
+  return calls_.size() + std::size_t(std::count_if(clients_.begin(), clients_.end(), [](auto& e) {
+           return e.second->conn->open() && e.second->conn->queued() > 0;
+         }));
+}
+
 void Front::leave() {
   leaving_ = true;
   if (acceptor_) acceptor_->close();
   std::vector<Ptr> resting;
-  for (auto& [key, c] : clients_)
-    if (c->places.empty() && !c->reader.begun()) resting.push_back(c);
-  for (auto& c : resting) {
-    loop_.timers().cancel(c->timer);
-    c->closing = true;
-    c->conn->close_after_flush();
-    clients_.erase(c.get());
+  for (auto& [key, c] : clients_) {
+    c->line.leave();
+    if (c->line.resting()) resting.push_back(c);
   }
+  for (auto& c : resting) write(c, c->line.expired());
 }
 
 }  // namespace pebblespindle::lighter
--- a/src/lighter/front.h
+++ b/src/lighter/front.h
@@ -1,13 +1,11 @@
-// The clients of a lighter: HTTP connections, their limits, and answers in the order of the requests.
+// The clients of a lighter: their connections, limits and timers; what is said on them is Pipeline's.
 #pragma once
-#include <deque>
 #include <functional>
 #include <map>
 
 #include "keel/line_conn.h"
 #include "keel/loop.h"
-#include "lighter/call.h"
-#include "ordinance/records.h"
+#include "lighter/pipeline.h"
 
 namespace pebblespindle::lighter {
 
@@ -23,29 +21,23 @@
   void answer(CallId id, Reply r);
   // No new connections, and those that rest are closed; answers close theirs.
   void leave();
-  std::size_t waiting() const { return calls_.size(); }
+  // Requests without an answer, and connections with an answer that is not written out.
+  std::size_t waiting() const;
 
  private:
-  struct Place {  // in the order of the requests
-    CallId id = 0;
-    bool done = false, close = false, no_body = false;
-    Reply reply;
-  };
   struct Client {
-    explicit Client(std::size_t head, std::size_t body) : reader(HttpReader::Kind::kRequests, head, body) {}
+    explicit Client(const Limits& l) : line(l) {}
     LineConn::Ptr conn;
-    HttpReader reader;
-    std::deque<Place> places;
-    bool closing = false;  // nothing more is read
+    Pipeline line;
     Timers::Id timer = 0;
   };
   using Ptr = std::shared_ptr<Client>;
   void accept(asio::ip::tcp::socket socket);
   void read(const Ptr& c, std::string_view bytes);
-  void refuse(const Ptr& c, int status);
-  void take(const Ptr& c, HttpMessage m);
-  void flush(const Ptr& c);
+  void write(const Ptr& c, const std::string& bytes);
+  void written(const Ptr& c);
   void watch(const Ptr& c);
+  void on_timer(const Ptr& c);
   void ended(const Ptr& c);
 
   Loop& loop_;
--- a/src/lighter/inbound.cc
+++ b/src/lighter/inbound.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lighter/frame.h"
+
 namespace pebblespindle::lighter {
 using namespace constants;
 
@@ -17,10 +19,13 @@
   for (auto& [id, s] : servers_)
     if (s.job == 0) idle.push_back(id);
   for (auto id : idle) drop_server(id);
-  if (here_) return pump();
+  turn_away("gone");  // who waits was meant for the former one
+}
+
+void Inbound::turn_away(const char* why) {
   for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
     auto id = std::get<1>(r);
-    say_not_run(jobs_[id], "gone", false);
+    say_not_run(jobs_[id], why, false);
     end_job(id);
   }
 }
@@ -38,20 +43,23 @@
 
 // A request that has not run. One that was sent before, over a connection that then ended, may have.
 void Inbound::say_not_run(const Job& j, const char* why, bool waited) {
-  if (j.again) return say_fail(j, true);
+  if (j.again) return say_fail(j);
   if (j.wanted) say_no(j.link, j.n, why, waited);
 }
 
-void Inbound::say_fail(const Job& j, bool ran) {
-  if (j.wanted) port_.reply(j.link, {{"t", "fail"}, {"n", j.n}, {"r", ran}, {"l", load()}});
+// It may have run.
+void Inbound::say_fail(const Job& j) {
+  if (j.wanted) port_.reply(j.link, {{"t", "fail"}, {"n", j.n}, {"l", load()}});
 }
 
 void Inbound::offer(LinkId link, const Json& m) {
-  const std::uint64_t n = m.at("n");
+  const std::uint64_t n = number(m, "n");
   // One that is leaving takes nothing new: whoever sends has not heard yet, and turns elsewhere.
-  if (!here_ || here_->draining || m.at("i") != here_->id.value) return say_no(link, n, "gone", false);
+  if (!here_ || here_->draining || text(m, "i") != here_->id.value) return say_no(link, n, "gone", false);
+  Call call{text(m, "m"), text(m, "u"), text(m, "b"), fields_from(m.value("h", Json()))};
+  if (!one_word(call.method) || !one_word(call.target)) return say_no(link, n, "gone", false);
   if (down_ && (trial_ || now_ < trial_at_)) return say_no(link, n, "down", false);
-  const Millis wait = m.value("w", Millis(0)), left = m.at("d");
+  const Millis wait = figure(m, "w", 0, 0, kMostWaitMs), left = figure(m, "d", 0, 0, kMostWaitMs);
   auto cap = std::size_t(std::max(1, here_->capacity));
   if (running_ >= cap) {
     // How long it would wait, as things stand; a wait that will be too long is refused now.
@@ -61,14 +69,15 @@
   Job j;
   j.link = link;
   j.n = n;
-  j.call = {m.at("m"), m.at("u"), m.at("b"), fields_from(m.at("h"))};
+  j.alone = call.method == "HEAD" || !find_field(call.fields, kIdField);
+  j.call = std::move(call);
   j.began = now_;
   j.deadline = now_ + left;
   j.until = now_ + wait;
   // The aim that ends first goes first; a rank is worth a little of it.
-  j.due = now_ + m.value("a", left) + m.value("p", 1) * kRankMs;
-  j.safe = m.value("s", false);
-  j.caller = m.value("c", "");
+  j.due = now_ + figure(m, "a", left, -kMostWaitMs, kMostWaitMs) + figure(m, "p", 1, 0, kRanks) * kRankMs;
+  j.safe = flag(m, "s");
+  j.caller = text(m, "c");
   std::uint64_t id = ++last_job_;
   jobs_[id] = std::move(j);
   if (down_) trial_ = true;
@@ -124,9 +133,10 @@
     jobs_[id].timer = 0;
     on_deadline(id);
   });
-  if (ConnId c = j.again ? 0 : idle_server(j.safe)) return run_on(id, c);
+  if (ConnId c = j.again || j.alone ? 0 : idle_server(j.safe)) return run_on(id, c);
   ConnId c = ++last_conn_;
   Server& s = servers_[c];
+  s.life = here_->id;
   s.job = id;
   j.conn = c;
   s.timer = timers_.at(now_ + kAppConnectMs, [this, c] {
@@ -139,9 +149,27 @@
 void Inbound::server_up(ConnId id) {
   auto it = servers_.find(id);
   if (it == servers_.end()) return;
-  timers_.cancel(it->second.timer);
-  it->second.up = true;
-  if (it->second.job) run_on(it->second.job, id);
+  Server& s = it->second;
+  timers_.cancel(s.timer);
+  s.up = true;
+  s.idle_since = now_;
+  const std::uint64_t job = s.job;
+  if (job == 0) return;
+  Job& j = jobs_[job];
+  if (j.wanted && here(s.life)) return run_on(job, id);
+  // Nobody waits for it any more, or the database it was meant for has ended: it is not written.
+  say_not_run(j, "gone", false);
+  s.job = 0;
+  --running_;
+  end_job(job);
+  if (!here(s.life)) drop_server(id);
+  pump();
+}
+
+// A connection that speaks unasked is not used again: what it says next could be taken for an answer.
+void Inbound::server_bytes(ConnId id) {
+  auto it = servers_.find(id);
+  if (it != servers_.end() && it->second.job == 0) drop_server(id);
 }
 
 void Inbound::run_on(std::uint64_t id, ConnId conn) {
@@ -154,7 +182,7 @@
   Call c = j.call;
   set_field(c.fields, kDeadlineField,
             std::to_string(std::max<Millis>(1, j.deadline - now_ - kDeadlineWayMs)));
-  set_field(c.fields, kTargetField, here_ ? here_->id.value : "-");
+  set_field(c.fields, kTargetField, s.life.value);
   set_field(c.fields, kCallerField, j.caller);
   port_.to_server(conn, c);
 }
@@ -172,22 +200,25 @@
     s.keep_ms = -1;
     return;
   }
-  bool stamped = find_field(r.fields, kSealField) != nullptr;
-  bool not_run = find_field(r.fields, kNotRunField) != nullptr || r.status == 421;
-  bool broken = r.status < 300 && !stamped;  // not what the database would have said
+  const bool stamped = find_field(r.fields, kSealField) != nullptr;
+  const bool not_run = r.status == 421 || (r.status >= 400 && find_field(r.fields, kNotRunField));
+  // Not what a database says: a success without its stamp, a status that is none; or one without an id on a
+  // connection that has carried others, and so perhaps an answer to one of them.
+  const bool broken = r.status < 200 || r.status > 599 || (r.status < 300 && !stamped) ||
+                      (ours && !theirs && s.used && r.status < 400);
   met(!broken && (r.status < 500 || not_run), false);
   double took = double(now_ - j.began);
   if (r.status < 500) mean_ = mean_ == 0 ? took : mean_ + (took - mean_) * kIllLearn;
   // One that has rested longer than is trusted works all the same: others are trusted as long.
   if (s.used && !broken) idle_most_ = std::max(idle_most_, j.rested);
-  const bool keep = keep_ms >= 0 && s.keep_ms >= 0 && !broken;
+  const bool keep = keep_ms >= 0 && s.keep_ms >= 0 && !broken && theirs && !j.alone && here(s.life);
   s.job = 0;
   s.used = true;
   s.idle_since = now_;
   s.keep_ms = keep_ms;
   --running_;
   if (broken || (not_run && j.again)) {
-    say_fail(j, true);
+    say_fail(j);
   } else if (j.wanted) {
     Json m{{"t", "a"},
            {"n", j.n},
@@ -228,12 +259,13 @@
     // A connection that had rested and ends as soon as it is used was dead before: so may be others as old.
     bool stale = s.used && now_ - j.sent < kIdleLeastMs;
     if (stale) distrust(j.rested);
-    if (stale && j.safe && !j.again && here_) {  // once more, at the same database, over a new one
+    if (stale && j.safe && !j.again && j.wanted &&
+        here(s.life)) {  // once more, at the same database, over a new one
       j.again = true;
       return admit(s.job);
     }
     if (!stale) met(false, false);
-    say_fail(j, true);
+    say_fail(j);
   }
   end_job(s.job);
   pump();
@@ -247,7 +279,7 @@
   --running_;
   met(false, true);
   if (sent)
-    say_fail(j, true);
+    say_fail(j);
   else
     say_not_run(j, "down", false);
   end_job(id);
@@ -288,11 +320,7 @@
   down_ = true;
   trial_ = false;
   trial_at_ = now_ + kDownTrialMs;
-  for (auto queue = std::exchange(queue_, {}); auto& r : queue) {
-    auto id = std::get<1>(r);
-    say_not_run(jobs_[id], "down", false);
-    end_job(id);
-  }
+  turn_away("down");
 }
 
 void Inbound::cancel(LinkId link, std::uint64_t n) {
--- a/src/lighter/inbound.h
+++ b/src/lighter/inbound.h
@@ -32,10 +32,13 @@
   const std::optional<Instance>& database() const { return here_; }
 
   void offer(LinkId link, const Json& m);
+  // Nobody waits for it any more: what has not been written to the database never will be.
   void cancel(LinkId link, std::uint64_t n);
   void link_gone(LinkId link);
 
   void server_up(ConnId id);
+  // Something has come from the database, perhaps a part of an answer only.
+  void server_bytes(ConnId id);
   // keep_ms: how long the database says it keeps the connection unused; below 0: it closes it.
   void server_reply(ConnId id, Reply r, Millis keep_ms);
   void server_down(ConnId id, bool refused);
@@ -49,11 +52,13 @@
     Millis began = 0, deadline = 0, until = 0, sent = 0, rested = 0;
     Millis due = 0;
     bool safe = false, wanted = true, again = false;
+    bool alone = false;  // on a connection of its own: a late answer there could be taken for its own
     std::string caller;
     ConnId conn = 0;
     Timers::Id timer = 0;
   };
   struct Server {
+    InstanceId life;  // the database it was opened to
     bool up = false, used = false;
     std::uint64_t job = 0;  // 0: idle
     Millis idle_since = 0, keep_ms = 0;
@@ -65,7 +70,9 @@
   Json load() const;
   void say_no(LinkId link, std::uint64_t n, const char* why, bool waited);
   void say_not_run(const Job& j, const char* why, bool waited);
-  void say_fail(const Job& j, bool ran);
+  void say_fail(const Job& j);
+  bool here(const InstanceId& id) const { return here_ && here_->id == id; }
+  void turn_away(const char* why);
   void admit(std::uint64_t id);
   void pump();
   void start(std::uint64_t id);
--- a/src/lighter/lighter.cc
+++ b/src/lighter/lighter.cc
@@ -1,6 +1,7 @@
 // The sidecar proxy's process: joins its two halves to sockets, to the tender's feed, and to the beats of the
 // database beside it.
 #include <csignal>
+#include <limits>
 
 #include "keel/constants.h"
 #include "keel/feed_link.h"
@@ -51,6 +52,10 @@
                 touch();
                 in_.server_up(id);
               },
+              [this](ConnId id) {
+                touch();
+                in_.server_bytes(id);
+              },
               [this](ConnId id, Reply r, Millis keep) {
                 touch();
                 in_.server_reply(id, std::move(r), keep);
@@ -103,6 +108,11 @@
       loop_.rearm();
     });
   }
+  bool withdraw(const Endpoint& at, std::uint64_t n) override {
+    if (at != settings_.lighter()) return links_.withdraw(at, n);
+    offer(at, {{"t", "x"}, {"n", n}});
+    return false;
+  }
   // InPort
   void reply(LinkId link, const Json& frame) override {
     if (link != 0) return links_.reply(link, frame);
@@ -130,10 +140,10 @@
 
   void on_offer(LinkId link, const Json& m) {
     touch();
-    if (m.value("t", "") == "q")
+    if (text(m, "t") == "q")
       in_.offer(link, m);
-    else if (m.value("t", "") == "x")
-      in_.cancel(link, m.value("n", std::uint64_t(0)));
+    else if (text(m, "t") == "x")
+      in_.cancel(link, number(m, "n"));
   }
 
   // --- the database's beats -----------------------------------------------------
@@ -146,7 +156,7 @@
     if (r.method == "DELETE") {
       if (in_.database() && in_.database()->id == id) in_.database(std::nullopt);
       left_ = id;
-      return tell_core({{"t", "leave"}, {"id", id.value}}, id, 0, std::move(done));
+      return tell_core({{"t", "leave"}, {"id", id.value}}, id, kEnd, std::move(done));
     }
     if (r.method != "PUT") return done({404, "", {}});
     auto beat = read_beat(id.value, r.body);
@@ -162,24 +172,27 @@
 
   bool now_leased() const { return loop_.now() < lease_until_; }
 
-  // What the core must know is acknowledged only once it has said so.
+  // What the core must know is acknowledged only once it has said so. Beats are told apart by their number,
+  // which rises; an end has one of its own, so that no beat's answer is taken for its acknowledgement.
+  static constexpr std::uint64_t kEnd = std::numeric_limits<std::uint64_t>::max();
   void tell_core(const Json& m, const InstanceId& id, std::uint64_t calls, HttpDone done) {
     if (!feed_.up()) return done({503, "", {}});
     auto key = std::make_pair(id, calls);
-    if (auto old = waiting_.find(key); old != waiting_.end()) old->second({503, "", {}}), waiting_.erase(old);
-    waiting_[key] = std::move(done);
+    beat_answered(key, 503);  // the same again: the former caller has gone on
+    waiting_[key] = {std::move(done), loop_.timers().at(loop_.now() + kBeatAnswerMs,
+                                                        [this, key] { beat_answered(key, 503); })};
     Json told = m;
     told["calls"] = calls;
     feed_.send(told);
-    loop_.timers().at(loop_.now() + kBeatAnswerMs, [this, key] { beat_answered(key, 503); });
     loop_.rearm();
   }
   void beat_answered(const std::pair<InstanceId, std::uint64_t>& key, int status) {
     auto it = waiting_.find(key);
     if (it == waiting_.end()) return;
-    auto done = std::move(it->second);
+    Beat b = std::move(it->second);
     waiting_.erase(it);
-    done({status, "", {}});
+    loop_.timers().cancel(b.timer);
+    b.done({status, "", {}});
   }
 
   // --- the feed ---------------------------------------------------------------
@@ -228,7 +241,7 @@
     loop_.rearm();
   }
   void end_if_empty() {
-    if (front_.waiting() == 0 && in_.busy() == 0) {
+    if (front_.waiting() == 0 && in_.busy() == 0 && !links_.unsent()) {
       loop_.timers().at(loop_.now() + kReconnectMs / 5, [this] {
         log_.say("All requests have ended.");
         loop_.stop();
@@ -251,7 +264,11 @@
   FeedLink feed_{
       loop_, settings_.feed(), {[this](std::string_view line) { on_feed(line); }, [this] { renew(); }}};
   InstanceId left_;
-  std::map<std::pair<InstanceId, std::uint64_t>, HttpDone> waiting_;  // beats that the core has not answered
+  struct Beat {
+    HttpDone done;
+    Timers::Id timer = 0;
+  };
+  std::map<std::pair<InstanceId, std::uint64_t>, Beat> waiting_;  // those that the core has not answered
   Millis lease_until_ = 0;
   std::uint64_t lease_number_ = 0;
   bool leaving_ = false;
--- a/src/lighter/outbound.cc
+++ b/src/lighter/outbound.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "lighter/frame.h"
+
 namespace pebblespindle::lighter {
 using namespace constants;
 
@@ -63,6 +65,7 @@
     Work* x = find(id);
     if (!x) return;
     x->timer = 0;
+    withdraw(*x);
     finish(id, x->may_run > 0 ? own_reply(504) : own_reply(503, kAgainMs));
   });
   if (w.safe) {
@@ -132,6 +135,7 @@
     i = choose(*w, true);
   }
   if (wait && now_ >= wait_until(*w)) i = nullptr;  // it has waited as long as it may
+  if (!may_ask_another(*w)) i = nullptr;
   if (!i) {
     if (w->open.empty()) refuse(id);
     return;
@@ -170,9 +174,10 @@
 
 void Outbound::told(const InstanceId& id, const Json& l) {
   if (!l.is_array() || l.size() != 4) return;
+  for (auto& v : l)
+    if (!v.is_number_unsigned() && !v.is_number_integer()) return;
   Peer& p = peers_[id];
   p.told = l[0].get<double>() + l[1].get<double>();
-  p.capacity = l[2].get<int>();
   p.ill = l[3].get<double>() / 100.0;
   p.told_at = now_;
   p.since = 0;
@@ -185,12 +190,14 @@
   if (p.flying > 0) --p.flying;
 }
 
-void Outbound::frame(const Endpoint&, const Json& m) {
-  auto it = attempts_.find(m.value("n", std::uint64_t(0)));
-  if (it == attempts_.end()) return;
+void Outbound::frame(const Endpoint& from, const Json& m) {
+  auto it = attempts_.find(number(m, "n"));
+  // A number alone could be of another life, or another's at an address that has changed hands.
+  if (it == attempts_.end() || !(it->second.at == from)) return;
+  const std::string t = text(m, "t");
+  if (t != "no" && t != "fail" && t != "a") return;
   Attempt a = it->second;
   const std::uint64_t n = it->first;
-  const std::string t = m.value("t", "");
   if (m.contains("l")) told(a.instance, m["l"]);
   Work* w = find(a.call);
   over(n, a);
@@ -200,10 +207,10 @@
   if (t == "no") {  // it never came near the database
     --w->reached;
     --w->may_run;
-    const std::string why = m.value("y", "");
+    const std::string why = text(m, "y");
     if (why == "full") {
       peers_[a.instance].full_until = now_ + kBusyMs;
-      if (m.value("w", false)) {  // it has waited as long as it may
+      if (flag(m, "w")) {  // it has waited as long as it may
         if (w->open.empty()) refuse(id);
         return;
       }
@@ -216,17 +223,14 @@
     return next(id, false);
   }
   if (!std::exchange(w->counted, true)) budget_.first(now_);
-  if (t == "fail") return failed(id, m.value("r", true));
-  if (t != "a") return;
-  Reply r{m.value("s", 502), m.value("b", ""), fields_from(m.value("h", Json()))};
-  if (m.value("x", false)) {  // the database's own promise that it has not run
-    --w->may_run;
-    return failed(id, false);
-  }
-  // To a client these are promises, which this database has not given.
-  if (r.status == 408 || r.status == 421 || r.status == 429 || r.status == 503) return failed(id, true);
-  if (r.status >= 500 && w->safe && r.status != 504) {
-    if (w->reached < w->route->max_attempts && spend(*w)) return next(id, false);
+  if (t == "fail") return failed(id);
+  Reply r{int(figure(m, "s", 0, 0, 999)), text(m, "b"), fields_from(m.value("h", Json()))};
+  if (flag(m, "x")) --w->may_run;  // the database's own promise that it has not run
+  // To a client these are promises, which this database has not given; below 200 or above 599 is no answer.
+  const bool promise = r.status == 408 || r.status == 421 || r.status == 429 || r.status == 503;
+  if (flag(m, "x") || promise || r.status < 200 || r.status > 599) return failed(id);
+  if (r.status >= 500 && r.status != 504 && w->safe) {
+    if (may_ask_another(*w) && spend(*w)) return next(id, false);
     if (!w->open.empty()) return;
   }
   if (r.status < 400) {
@@ -239,14 +243,17 @@
   finish(id, std::move(r));
 }
 
-// One database has failed it. Another is asked where that may be done twice, or was not done at all.
-void Outbound::failed(CallId id, bool ran) {
+// The one rule for a second database: only what may run twice, or has not run at the first.
+bool Outbound::may_ask_another(const Work& w) const {
+  return (w.safe || w.may_run == 0) && w.reached < w.route->max_attempts && now_ < w.deadline;
+}
+
+// One database has failed it.
+void Outbound::failed(CallId id) {
   Work* w = find(id);
   if (!w || !w->open.empty()) return;  // another one still works on it
-  bool again = (w->safe || !ran) && w->reached < w->route->max_attempts && now_ < w->deadline;
-  if (again && (w->reached == 0 || spend(*w))) return next(id, false);
-  if (w->may_run == 0) return refuse(id);
-  finish(id, own_reply(502));
+  if (may_ask_another(*w) && (w->reached == 0 || spend(*w))) return next(id, false);
+  refuse(id);
 }
 
 // One more database, out of the budget.
@@ -270,24 +277,29 @@
 // An answer is missed: a second database is asked, and the first to answer counts.
 void Outbound::on_hedge(CallId id) {
   Work* w = find(id);
-  if (!w || w->hedged || w->reached == 0 || w->reached >= w->route->max_attempts) return;
+  if (!w || w->hedged || w->reached == 0 || !may_ask_another(*w)) return;
   if (!spend(*w)) return;
   w->hedged = true;
   next(id, false);
 }
 
+// Takes back what has no outcome. What had not left has not run, and will not.
+void Outbound::withdraw(Work& w) {
+  for (auto n : std::exchange(w.open, {})) {
+    auto it = attempts_.find(n);
+    if (it == attempts_.end()) continue;
+    if (port_.withdraw(it->second.at, n)) --w.reached, --w.may_run;
+    auto& p = peers_[it->second.instance];
+    if (p.flying > 0) --p.flying;
+    attempts_.erase(it);
+  }
+}
+
 void Outbound::finish(CallId id, Reply r) {
   Work* w = find(id);
   timers_.cancel(w->timer);
   timers_.cancel(w->hedge);
-  for (auto n : w->open) {
-    auto a = attempts_.find(n);
-    if (a == attempts_.end()) continue;
-    port_.offer(a->second.at, {{"t", "x"}, {"n", n}});
-    auto& p = peers_[a->second.instance];
-    if (p.flying > 0) --p.flying;
-    attempts_.erase(a);
-  }
+  withdraw(*w);
   works_.erase(id);
   if (r.status != 0) port_.answer(id, std::move(r));
 }
@@ -306,7 +318,7 @@
     Work* w = find(a.call);
     if (!w) continue;
     if (!sent) --w->reached, --w->may_run;
-    failed(a.call, sent);
+    failed(a.call);
   }
 }
 
--- a/src/lighter/outbound.h
+++ b/src/lighter/outbound.h
@@ -19,6 +19,8 @@
   virtual void answer(CallId, Reply) = 0;
   // To the lighter at that address; this machine's own half is one of them.
   virtual void offer(const Endpoint&, const Json& frame) = 0;
+  // Nobody waits for offer `n` any more. True: it had not left, and will not.
+  virtual bool withdraw(const Endpoint&, std::uint64_t n) = 0;
 };
 
 class Outbound {
@@ -66,7 +68,6 @@
   };
   struct Peer {  // what is known of a database
     double told = 0;
-    int capacity = 1;
     double ill = 0;
     Millis told_at = -1000000, full_until = 0, away_until = 0, away_pause = 0;
     int since = 0, flying = 0;  // own requests since it told; own requests without an outcome
@@ -82,7 +83,9 @@
   void next(CallId id, bool wait);
   void send(CallId id, const Instance& i, bool wait);
   void over(std::uint64_t attempt, Attempt& a);
-  void failed(CallId id, bool ran);
+  bool may_ask_another(const Work& w) const;
+  void withdraw(Work& w);
+  void failed(CallId id);
   void finish(CallId id, Reply r);
   void refuse(CallId id);
   bool spend(Work& w);
--- a/src/lighter/quays.cc
+++ b/src/lighter/quays.cc
@@ -1,28 +1,10 @@
 #include "lighter/quays.h"
 
-#include <charconv>
-
 #include "keel/constants.h"
 
 namespace pebblespindle::lighter {
 using namespace constants;
 
-namespace {
-
-std::string packed(const Json& j) {
-  std::string out;
-  Json::to_msgpack(j, out);
-  return out;
-}
-
-std::optional<Json> unpacked(std::string_view bytes) {
-  Json j = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-  if (!j.is_object()) return std::nullopt;
-  return j;
-}
-
-}  // namespace
-
 std::string Links::listen(const Endpoint& at) {
   auto a = Acceptor::listen(loop_.io(), at, [this](asio::ip::tcp::socket s) { accept(std::move(s)); });
   if (!a) return a.reason;
@@ -36,11 +18,7 @@
   auto conn = std::make_shared<LineConn>(std::move(socket), kMaxFrameBytes, LineConn::Kind::kFrames);
   callers_[id] = conn;
   conn->start({[this, id, conn](std::string_view frame) {
-                 auto m = unpacked(frame);
-                 try {
-                   if (m) return out_.offer(id, *m);
-                 } catch (const Json::exception&) {  // a field is missing or of the wrong type
-                 }
+                 if (auto m = unpacked(frame)) return out_.offer(id, *m);
                  conn->close();
                  callers_.erase(id);
                  out_.gone(id);
@@ -60,10 +38,25 @@
 void Links::send(const Endpoint& to, const Json& frame) {
   Peer& p = peers_[to];
   if (p.conn) return p.conn->send_frame(packed(frame));
-  p.held.push_back(packed(frame));
+  p.held.push_back({frame, loop_.now()});
   if (!p.dialling) dial(to);
 }
 
+bool Links::withdraw(const Endpoint& to, std::uint64_t n) {
+  auto it = peers_.find(to);
+  if (it == peers_.end()) return false;  // its link has ended
+  if (!it->second.conn)
+    return std::erase_if(it->second.held, [&](const Held& h) { return number(h.frame, "n") == n; }) > 0;
+  it->second.conn->send_frame(packed({{"t", "x"}, {"n", n}}));
+  return false;
+}
+
+bool Links::unsent() const {
+  for (auto& [id, conn] : callers_)
+    if (conn->queued() > 0) return true;
+  return false;
+}
+
 void Links::dial(const Endpoint& to) {
   peers_[to].dialling = true;
   LineConn::connect(
@@ -87,22 +80,21 @@
           loop_.rearm();
         };
         conn->start({[this, to, conn, lost](std::string_view frame) {
-                       auto m = unpacked(frame);
-                       try {
-                         if (m) return out_.answer(to, *m);
-                       } catch (const Json::exception&) {
-                       }
+                       if (auto m = unpacked(frame)) return out_.answer(to, *m);
                        conn->close();
                        lost();
                      },
                      [lost](LineConn::End) { lost(); }, [this] { loop_.rearm(); }});
-        for (auto& f : held) conn->send_frame(f);
+        for (auto& h : held) {  // what was left when it was offered is less by now
+          for (const char* key : {"d", "w", "a"})
+            if (h.frame.contains(key))
+              h.frame[key] = figure(h.frame, key, 0, 0, kMostWaitMs) - (loop_.now() - h.since);
+          conn->send_frame(packed(h.frame));
+        }
       },
       LineConn::Kind::kFrames);
 }
 
-AppConns::Conn::Conn() : reader(HttpReader::Kind::kResponses, 1 << 16, kMaxCallBytes) {}
-
 void AppConns::open(ConnId id) {
   if (!app_) {
     asio::post(loop_.io(), [this, id] { out_.down(id, true); });
@@ -138,36 +130,26 @@
 void AppConns::send(ConnId id, const Call& c) {
   auto it = conns_.find(id);
   if (it == conns_.end()) return;
-  it->second->asked = true;
-  it->second->reader.no_body(c.method == "HEAD");
+  it->second->reader.asked(c.method == "HEAD");
   it->second->conn->send(request_bytes(c));
 }
 
 void AppConns::read(ConnId id, std::string_view bytes) {
-  while (!bytes.empty()) {
-    auto it = conns_.find(id);
-    if (it == conns_.end()) return;
-    auto c = it->second;
-    std::size_t took = 0;
-    auto state = c->reader.feed(bytes, took);
-    if (state == HttpReader::State::kMore) return;
-    if (state != HttpReader::State::kDone) {  // not an answer
-      close(id);
-      return out_.down(id, false);
-    }
-    bytes.remove_prefix(took);
-    HttpMessage m = c->reader.take();
-    if (m.status >= 100 && m.status < 200) continue;
-    Millis keep =
-        m.keep_alive && bytes.empty() ? 0 : -1;  // more after a whole answer: nothing after it counts
-    if (auto* k = find_field(m.fields, "Keep-Alive"); k && keep == 0)
-      if (auto at = k->find("timeout="); at != std::string::npos) {
-        int s = 0;
-        std::from_chars(k->data() + at + 8, k->data() + k->size(), s);
-        keep = Millis(s) * 1000;
-      }
-    out_.reply(id, {m.status, std::move(m.body), std::move(m.fields)}, keep);
+  out_.bytes(id);
+  auto it = conns_.find(id);
+  if (it == conns_.end()) return;
+  auto c = it->second;
+  std::vector<AppReader::Answer> answers;
+  const bool fine = c->reader.feed(bytes, answers);
+  for (auto& a : answers) {
+    // An answer that came before its request was written: the rest of that must not follow.
+    if (c->conn->queued() > 0) a.keep_ms = -1;
+    out_.reply(id, std::move(a.reply), a.keep_ms);
+    if (!conns_.count(id)) return;
   }
+  if (fine) return;
+  close(id);
+  out_.down(id, false);
 }
 
 void AppConns::close(ConnId id) {
--- a/src/lighter/quays.h
+++ b/src/lighter/quays.h
@@ -6,7 +6,8 @@
 
 #include "keel/line_conn.h"
 #include "keel/loop.h"
-#include "lighter/call.h"
+#include "lighter/app_reader.h"
+#include "lighter/frame.h"
 
 namespace pebblespindle::lighter {
 
@@ -22,12 +23,19 @@
   Links(Loop& loop, Out out) : loop_(loop), out_(std::move(out)) {}
   std::string listen(const Endpoint& at);
   void send(const Endpoint& to, const Json& frame);
+  // Takes back offer `n` where it still waits for its link. False: it may have left, and is called off there.
+  bool withdraw(const Endpoint& to, std::uint64_t n);
   void reply(LinkId link, const Json& frame);
+  bool unsent() const;  // something waits to be written
 
  private:
+  struct Held {
+    Json frame;
+    Millis since = 0;
+  };
   struct Peer {
     LineConn::Ptr conn;
-    std::vector<std::string> held;  // until it is up
+    std::vector<Held> held;  // until it is up
     bool dialling = false;
   };
   void accept(asio::ip::tcp::socket socket);
@@ -45,6 +53,7 @@
  public:
   struct Out {
     std::function<void(ConnId)> up;
+    std::function<void(ConnId)> bytes;  // something has come, which may be part of an answer
     std::function<void(ConnId, Reply, Millis keep_ms)> reply;
     std::function<void(ConnId, bool refused)> down;
   };
@@ -56,10 +65,8 @@
 
  private:
   struct Conn {
-    Conn();
     LineConn::Ptr conn;
-    HttpReader reader;
-    bool asked = false;
+    AppReader reader;
   };
   void read(ConnId id, std::string_view bytes);
   Loop& loop_;
--- /dev/null
+++ b/tests/answers_wire_test.cc
@@ -0,0 +1,407 @@
+// Answers and connections over real sockets on this machine: the pipeline of a client, links that are
+// dialled, a database's connection, the control plane's server.
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "keel/http.h"
+#include "lighter/front.h"
+#include "lighter/inbound.h"
+#include "lighter/quays.h"
+
+namespace pebblespindle::test::mesh {
+namespace {
+
+using namespace lighter;
+using asio::ip::tcp;
+
+// Ports of this process alone, away from those the system gives out by itself.
+Endpoint place() {
+  static int last = 21000 + int(::getpid() % 4000) * 2;
+  return {"127.0.0.1", std::uint16_t(last++)};
+}
+
+// A peer that says and hears bytes.
+struct Peer {
+  explicit Peer(tcp::socket s) : socket(std::move(s)) { read(); }
+  Peer(asio::io_context& io, const Endpoint& at) : socket(io) {
+    socket.connect({asio::ip::make_address(at.host), at.port});
+    read();
+  }
+  void read() {
+    socket.async_read_some(asio::buffer(chunk), [this](const asio::error_code& ec, std::size_t n) {
+      if (ec == asio::error::operation_aborted) return;
+      heard.append(chunk, n);
+      if (ec)
+        ended = true;
+      else
+        read();
+    });
+  }
+  void say(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
+  tcp::socket socket;
+  char chunk[4096];
+  std::string heard;
+  bool ended = false;
+};
+
+void run_until(Loop& loop, const std::function<bool()>& done, Millis most = 2000) {
+  const Millis end = loop.now() + most;
+  loop.io().restart();
+  loop.rearm();
+  while (!done() && loop.now() < end) loop.io().run_one_for(std::chrono::milliseconds(5));
+}
+
+std::string get(const std::string& id, const std::string& more = "") {
+  return "GET /" + id + " HTTP/1.1\r\nHost: h\r\n" + more + "\r\n";
+}
+
+struct FrontWorld {
+  Loop loop;
+  Limits limits;
+  std::map<std::string, CallId> calls;
+  std::vector<CallId> gone;
+  Endpoint at = place();
+  Front front{loop,
+              {[this](CallId id, Call c) { calls[c.target.substr(1)] = id; },
+               [this](CallId id) { gone.push_back(id); }, [this]() -> const Limits& { return limits; }}};
+  FrontWorld() { EXPECT_EQ(front.listen(at), ""); }
+  void answer(const std::string& id) { front.answer(calls.at(id), {200, "for " + id, {}}); }
+};
+
+TEST(AnswersWire, APipelineIsAnsweredInItsOrderAndAnAnswerTwiceIsNone) {
+  FrontWorld w;
+  Peer a(w.loop.io(), w.at), b(w.loop.io(), w.at);
+  a.say(get("a1") + get("a2") + get("a3"));
+  b.say(get("b1"));
+  run_until(w.loop, [&] { return w.calls.size() == 4; });
+  w.answer("a3");
+  w.answer("b1");
+  w.answer("a2");
+  run_until(w.loop, [&] { return !b.heard.empty(); });
+  EXPECT_TRUE(a.heard.empty()) << "an answer before the one that is due";
+  w.answer("a1");
+  w.front.answer(w.calls["a1"], {200, "again", {}});
+  run_until(w.loop, [&] { return a.heard.find("for a3") != std::string::npos; });
+  const auto one = a.heard.find("for a1"), two = a.heard.find("for a2"), three = a.heard.find("for a3");
+  EXPECT_TRUE(one < two && two < three && three != std::string::npos) << a.heard;
+  EXPECT_EQ(a.heard.find("again"), std::string::npos);
+  EXPECT_EQ(a.heard.find("for b"), std::string::npos);
+}
+
+// What is sent behind an answer that closes is sent again by its client, of whatever kind: it must not leave.
+TEST(AnswersWire, NothingIsReadBehindARequestWhoseAnswerCloses) {
+  FrontWorld w;
+  Peer a(w.loop.io(), w.at);
+  a.say(get("a1") + get("a2", "Connection: close\r\n") + get("a3"));
+  run_until(w.loop, [&] { return w.calls.size() >= 2; });
+  run_until(
+      w.loop, [] { return false; }, 30);
+  EXPECT_FALSE(w.calls.count("a3"));
+  w.answer("a2");
+  w.answer("a1");
+  run_until(w.loop, [&] { return a.ended; });
+  EXPECT_NE(a.heard.find("for a2"), std::string::npos);
+  EXPECT_EQ(w.front.waiting(), 0u);
+}
+
+TEST(AnswersWire, ALeavingNodeAnswersWhatItHasReadAndReadsNoMoreThanThat) {
+  FrontWorld w;
+  Peer a(w.loop.io(), w.at), rests(w.loop.io(), w.at);
+  a.say(get("a1") + get("a2"));
+  run_until(w.loop, [&] { return w.calls.size() == 2; });
+  w.front.leave();
+  a.say(get("a3") + get("a4"));
+  run_until(w.loop, [&] { return rests.ended && w.calls.count("a3"); });
+  EXPECT_TRUE(rests.ended);
+  EXPECT_FALSE(w.calls.count("a4")) << "read behind one whose answer closes";
+  for (auto id : {"a3", "a1", "a2"}) w.answer(id);
+  run_until(w.loop, [&] { return a.ended; });
+  EXPECT_NE(a.heard.find("for a3"), std::string::npos);
+  EXPECT_EQ(a.heard.find("Connection: close"), a.heard.rfind("Connection: close"));
+}
+
+TEST(AnswersWire, TheEndOfALargeAnswerIsNotLostWhenANodeLeaves) {
+  FrontWorld w;
+  Peer a(w.loop.io(), w.at);
+  a.say(get("a1"));
+  run_until(w.loop, [&] { return w.calls.count("a1") > 0; });
+  w.front.leave();
+  const std::size_t size = 6 << 20;
+  w.front.answer(w.calls["a1"], {200, std::string(size, 'x'), {}});
+  run_until(
+      w.loop, [&] { return w.front.waiting() == 0; }, 5000);
+  EXPECT_EQ(w.front.waiting(), 0u);
+  w.loop.io().restart();
+  run_until(
+      w.loop, [&] { return a.ended; }, 5000);
+  EXPECT_GT(a.heard.size(), size);
+}
+
+TEST(AnswersWire, LimitsBindThoseTheyAreMeantFor) {
+  FrontWorld w;
+  w.limits.header_ms = 100;
+  w.limits.idle_ms = 200;
+  w.limits.body_bytes = 1000;
+  w.limits.header_bytes = 500;
+  Peer rests(w.loop.io(), w.at), head(w.loop.io(), w.at), body(w.loop.io(), w.at), idle(w.loop.io(), w.at);
+  Peer large(w.loop.io(), w.at), many(w.loop.io(), w.at);
+  head.say("GET /h HTTP/1.1\r\nHos");
+  body.say("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n1");
+  large.say("POST /l HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + std::string(2000, 'x'));
+  many.say(get("m", "X: " + std::string(600, 'x') + "\r\n"));
+  run_until(
+      w.loop, [] { return false; }, 150);  // past the limit for a head, within four fifths of the other
+  EXPECT_NE(head.heard.find(" 408 "), std::string::npos) << "a head that does not end";
+  EXPECT_NE(large.heard.find(" 413 "), std::string::npos);
+  EXPECT_NE(many.heard.find(" 431 "), std::string::npos);
+  EXPECT_FALSE(body.ended) << "a body that is on its way is no head";
+  rests.say(get("r"));
+  body.say("23");
+  run_until(w.loop, [&] { return w.calls.count("r") > 0; });
+  w.answer("r");
+  run_until(
+      w.loop, [] { return false; }, 120);
+  EXPECT_TRUE(idle.ended);
+  body.say("4");
+  rests.say(get("r2"));
+  run_until(w.loop, [&] { return w.calls.count("r2") && w.calls.count("b"); });
+  EXPECT_TRUE(w.calls.count("r2")) << "a connection taken up again within its limit is served";
+  EXPECT_TRUE(w.calls.count("b"));
+  EXPECT_FALSE(w.calls.count("l") || w.calls.count("h") || w.calls.count("m"));
+}
+
+// A client that sends on and on and reads nothing is not read any further.
+TEST(AnswersWire, AClientThatOnlySendsIsNotReadForEver) {
+  FrontWorld w;
+  Peer a(w.loop.io(), w.at);
+  a.socket.non_blocking(true);
+  std::string many;
+  for (int i = 0; i < 20000; ++i) many += get("x" + std::to_string(i));
+  std::size_t sent = 0;
+  for (int round = 0; round < 400; ++round) {
+    asio::error_code ec;
+    if (sent < many.size())
+      sent += a.socket.write_some(asio::buffer(many.data() + sent, many.size() - sent), ec);
+    run_until(
+        w.loop, [] { return false; }, 1);
+    if (!w.calls.empty())
+      w.front.answer(w.calls.begin()->second, {503, "", {}}), w.calls.erase(w.calls.begin());
+  }
+  EXPECT_LT(w.front.waiting(), 1200u);
+  EXPECT_GT(w.front.waiting(), 60u);
+}
+
+// --- links ------------------------------------------------------------------------
+
+struct LinksWorld {
+  Loop loop;
+  std::vector<std::pair<bool, Endpoint>> down;
+  std::vector<Json> offers, answers;
+  Links a{loop,
+          {[this](const Endpoint&, const Json& m) { answers.push_back(m); },
+           [this](const Endpoint& at, bool sent) { down.emplace_back(sent, at); }, [](LinkId, const Json&) {},
+           [](LinkId) {}}};
+  Links b{loop,
+          {[](const Endpoint&, const Json&) {}, [](const Endpoint&, bool) {},
+           [this](LinkId link, const Json& m) {
+             offers.push_back(m);
+             last = link;
+           },
+           [this](LinkId) { ++gone; }}};
+  LinkId last = 0;
+  int gone = 0;
+};
+
+Json offer(int n) {
+  return {{"t", "q"}, {"n", n}, {"d", 1000}, {"w", 0}, {"a", 500}};
+}
+
+TEST(AnswersWire, AnOfferThatIsWithdrawnWhileItsLinkIsDialledNeverLeaves) {
+  LinksWorld w;
+  const Endpoint at = place();
+  ASSERT_EQ(w.b.listen(at), "");
+  w.a.send(at, offer(1));
+  w.a.send(at, offer(2));
+  EXPECT_TRUE(w.a.withdraw(at, 1));
+  EXPECT_FALSE(w.a.withdraw(at, 1)) << "once";
+  run_until(w.loop, [&] { return !w.offers.empty(); });
+  ASSERT_EQ(w.offers.size(), 1u);
+  EXPECT_EQ(w.offers[0]["n"], 2);
+  EXPECT_LE(w.offers[0]["d"], 1000);
+  EXPECT_FALSE(w.a.withdraw(at, 2)) << "it has left";
+  run_until(w.loop, [&] { return w.offers.size() == 2; });
+  ASSERT_EQ(w.offers.size(), 2u);
+  EXPECT_EQ(w.offers[1]["t"], "x");
+}
+
+TEST(AnswersWire, ALinkThatCannotBeDialledHasSentNothingAndOneThatEndsMayHave) {
+  LinksWorld w;
+  const Endpoint nobody = place(), at = place();
+  w.a.send(nobody, offer(1));
+  run_until(w.loop, [&] { return !w.down.empty(); });
+  ASSERT_EQ(w.down.size(), 1u);
+  EXPECT_FALSE(w.down[0].first);
+  asio::ip::tcp::acceptor acceptor(w.loop.io(), {asio::ip::make_address("127.0.0.1"), at.port});
+  std::unique_ptr<Peer> peer;
+  acceptor.async_accept(
+      [&](const asio::error_code&, tcp::socket s) { peer = std::make_unique<Peer>(std::move(s)); });
+  w.a.send(at, offer(2));
+  run_until(w.loop, [&] { return peer && !peer->heard.empty(); });
+  peer->socket.close();
+  run_until(w.loop, [&] { return w.down.size() == 2; });
+  ASSERT_EQ(w.down.size(), 2u);
+  EXPECT_TRUE(w.down[1].first);
+  EXPECT_FALSE(w.a.withdraw(at, 2)) << "of a link that has ended nothing is known";
+}
+
+TEST(AnswersWire, AFrameThatIsNoneEndsItsLinkAndNoOther) {
+  LinksWorld w;
+  const Endpoint at = place();
+  ASSERT_EQ(w.b.listen(at), "");
+  Peer bad(w.loop.io(), at);
+  w.a.send(at, offer(1));
+  bad.say(std::string("\0\0\0\1\xc1", 5));
+  run_until(w.loop, [&] { return bad.ended && !w.offers.empty(); });
+  EXPECT_TRUE(bad.ended);
+  EXPECT_EQ(w.gone, 1);
+  EXPECT_TRUE(w.down.empty());
+  EXPECT_EQ(w.offers.size(), 1u);
+}
+
+// --- the database's connection -------------------------------------------------------
+
+struct AppWorld {
+  Loop loop;
+  Endpoint at = place();
+  tcp::acceptor acceptor{loop.io(), {asio::ip::make_address("127.0.0.1"), at.port}};
+  std::unique_ptr<Peer> database;
+  std::vector<std::pair<Reply, Millis>> replies;
+  int up = 0, down = 0, bytes = 0;
+  AppConns app{loop,
+               at,
+               {[this](ConnId) { ++up; }, [this](ConnId) { ++bytes; },
+                [this](ConnId, Reply r, Millis keep) { replies.emplace_back(std::move(r), keep); },
+                [this](ConnId, bool) { ++down; }}};
+  AppWorld() {
+    acceptor.async_accept(
+        [this](const asio::error_code&, tcp::socket s) { database = std::make_unique<Peer>(std::move(s)); });
+    app.open(1);
+    run_until(loop, [this] { return up && database; });
+  }
+  void ask(const Call& c) {
+    app.send(1, c);
+    run_until(loop, [this] { return !database->heard.empty(); });
+  }
+};
+
+TEST(AnswersWire, WhatADatabaseSaysIsReadAsItMeansIt) {
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  struct Case {
+    std::string said;
+    std::vector<int> statuses;
+    std::vector<Millis> keeps;
+    bool down;
+  };
+  for (const Case& c : std::vector<Case>{
+           {ok, {200}, {0}, false},
+           {"HTTP/1.1 100 Continue\r\n\r\n" + ok, {200}, {0}, false},
+           {ok + ok, {200, 200}, {-1, 0}, false},
+           {ok + "more", {200}, {-1}, true},
+           {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", {200}, {-1}, false},
+           {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7\r\nContent-Length: 0\r\n\r\n", {200}, {7000}, false},
+           {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n", {200}, {-1}, false},
+           {"HTTP/1.1 204 No Content\r\n\r\n", {204}, {0}, false},
+           {"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", {304}, {0}, false},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", {}, {}, true},
+           {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            {},
+            {},
+            true},
+           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Late: 1\r\n\r\n",
+            {200},
+            {0},
+            false},
+           {"no answer at all\r\n\r\n", {}, {}, true},
+           {"HTTP/1.1 200 OK\r\n\r\nto the end", {}, {}, false}}) {
+    SCOPED_TRACE(c.said);
+    AppWorld w;
+    w.ask({"GET", "/a", "", {{"Host", "h"}}});
+    w.database->say(c.said);
+    run_until(
+        w.loop, [&] { return w.replies.size() == c.statuses.size() && w.down == int(c.down); }, 50);
+    run_until(
+        w.loop, [] { return false; }, 5);
+    std::vector<int> statuses;
+    std::vector<Millis> keeps;
+    for (auto& [r, keep] : w.replies) {
+      statuses.push_back(r.status), keeps.push_back(keep);
+      EXPECT_FALSE(find_field(r.fields, "X-Late")) << "a trailer is no field of the head";
+    }
+    EXPECT_EQ(statuses, c.statuses);
+    EXPECT_EQ(keeps, c.keeps);
+    EXPECT_EQ(w.down, int(c.down));
+    EXPECT_GT(w.bytes, 0);
+  }
+}
+
+TEST(AnswersWire, AnAnswerBeforeItsRequestIsWrittenEndsTheConnection) {
+  AppWorld w;
+  w.database->socket.cancel();  // it reads no more
+  run_until(
+      w.loop, [] { return false; }, 5);
+  w.app.send(1, {"POST", "/a", std::string(8 << 20, 'x'), {{"Host", "h"}}});
+  run_until(
+      w.loop, [] { return false; }, 20);
+  w.database->say("HTTP/1.1 503 Busy\r\nX-Pebblespindle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  run_until(w.loop, [&] { return !w.replies.empty(); });
+  ASSERT_EQ(w.replies.size(), 1u);
+  EXPECT_EQ(w.replies[0].second, -1);
+}
+
+// --- the control plane's server --------------------------------------------------------
+
+TEST(AnswersWire, TheControlPlaneAnswersInOrderOnOneConnection) {
+  Loop loop;
+  const Endpoint at = place();
+  std::map<std::string, HttpDone> waiting;
+  auto server = HttpServer::listen(loop.io(), at, [&](HttpRequest r, HttpDone done) {
+    if (r.path == "/second")
+      done({200, "\"second\"", {}});
+    else
+      waiting[r.path] = std::move(done);
+  });
+  ASSERT_TRUE(server);
+  Peer a(loop.io(), at);
+  a.say(get("first") + get("second"));
+  run_until(loop, [&] { return waiting.count("/first") > 0; });
+  run_until(
+      loop, [] { return false; }, 30);
+  EXPECT_TRUE(a.heard.empty()) << "the second is ready first";
+  waiting["/first"]({200, "\"first\"", {}});
+  waiting["/first"]({503, "", {}});  // answered twice by mistake
+  run_until(loop, [&] { return a.heard.find("second") != std::string::npos; });
+  EXPECT_LT(a.heard.find("first"), a.heard.find("second"));
+  EXPECT_EQ(a.heard.find("503"), std::string::npos);
+}
+
+TEST(AnswersWire, ACallTakesNoInterimAnswerForItsOwnAndGoesNowhereElse) {
+  Loop loop;
+  const Endpoint at = place();
+  tcp::acceptor acceptor(loop.io(), {asio::ip::make_address("127.0.0.1"), at.port});
+  std::unique_ptr<Peer> peer;
+  acceptor.async_accept([&](const asio::error_code&, tcp::socket s) {
+    peer = std::make_unique<Peer>(std::move(s));
+    peer->say("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+  });
+  int status = -2, lost = -2;
+  http_call(loop.io(), at, {"GET", "/", "", {}}, 1000, [&](HttpReply r) { status = r.status; });
+  http_call(loop.io(), {"no.address", at.port}, {"GET", "/", "", {}}, 1000,
+            [&](HttpReply r) { lost = r.status; });
+  run_until(loop, [&] { return status != -2 && lost != -2; });
+  EXPECT_EQ(status, 201);
+  EXPECT_EQ(lost, 0);
+}
+
+}  // namespace
+}  // namespace pebblespindle::test::mesh
--- /dev/null
+++ b/tests/answers_world.h
@@ -0,0 +1,433 @@
+// A small mesh in bytes and milliseconds: clients with pipelines, both halves of every lighter, the links
+// between them with their dials, stalls and resets, and databases that break off, repeat themselves, fall
+// silent or start anew. The engines, the pipelines and all readers are the real ones; only sockets are
+// played.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <array>
+#include <deque>
+#include <memory>
+
+#include "lighter/app_reader.h"
+#include "lighter/frame.h"
+#include "lighter/inbound.h"
+#include "lighter/outbound.h"
+#include "lighter/pipeline.h"
+#include "ordinance/ordinance.h"
+
+namespace pebblespindle::test::mesh {
+
+using namespace lighter;
+
+constexpr int kShips = 4, kDatabaseSlots = 2;
+constexpr Millis kRouteMs = 300, kStallMs = 120;
+
+struct Writing {  // one time that a request was written to a database
+  std::string life;
+  int conn = 0;
+  bool denied = false;  // the lighter beside has read the database's word that it has not run
+};
+
+struct Try {
+  bool safe = false, head = false, whole = false;  // whole: its last byte was sent
+  std::string service, method, path, body;
+  std::vector<Writing> writings;
+  int runs = 0, answers = 0, status = 0;
+  bool promised = false;  // that it has not run and never will
+  bool gone = false;      // its client or its lighter has ended
+  int ship = 0;
+  Millis began = 0;
+};
+
+struct Run {
+  std::string id, body;
+  bool broken_off = false;  // its connection ended before its answer had been read
+};
+
+struct World;
+
+struct Piece {  // of what a client sends
+  Millis at;
+  std::string bytes, whole;  // the request that is complete with it
+};
+
+struct ClientConn {
+  explicit ClientConn(const Limits& l) : line(l) {}
+  Pipeline line;
+  HttpReader answers{HttpReader::Kind::kResponses, 1 << 16, 1 << 20};
+  std::deque<std::string> asked;  // tries without an answer, in order
+  std::deque<Piece> in;
+  bool closed = false;
+};
+
+struct Link {  // one lighter's link to another
+  int from = 0, to = 0;
+  Endpoint at;
+  std::uint64_t to_life = 0;
+  LinkId id = 0;  // at the far end
+  bool up = false, out_open = true, in_open = false;
+  std::vector<std::pair<std::uint64_t, std::string>> held;
+  std::deque<std::pair<Millis, std::string>> ahead, back;
+};
+
+struct DatabaseConn {
+  int serial = 0;
+  std::string life;
+  bool up = false;
+  AppReader reader;                                                    // the lighter's side
+  HttpReader requests{HttpReader::Kind::kRequests, 1 << 16, 1 << 20};  // the database's side
+  std::vector<std::string> before;                                     // ids it has carried
+  std::string carries;                                                 // the one written last
+  std::vector<int> runs;                                               // without a whole answer
+  std::deque<std::pair<Millis, std::string>> out;                      // to the lighter; empty bytes: reset
+};
+
+struct Ship : OutPort, InPort {
+  World& w;
+  int no;
+  std::uint64_t life;
+  Timers timers;
+  Chart chart;
+  Outbound out;
+  Inbound in;
+  std::map<CallId, std::shared_ptr<ClientConn>> calls;
+  std::vector<std::shared_ptr<ClientConn>> clients;
+  std::map<Endpoint, std::shared_ptr<Link>> links;
+  std::map<ConnId, std::shared_ptr<DatabaseConn>> conns;
+  CallId last_call = 0;
+  LinkId last_link = 0;
+  std::uint64_t number = 0;
+  bool leaving = false;
+
+  Ship(World& world, int n);
+  void set_time();
+  void answer(CallId id, Reply r) override;
+  void offer(const Endpoint& to, const Json& frame) override;
+  bool withdraw(const Endpoint& to, std::uint64_t n) override;
+  void reply(LinkId link, const Json& frame) override;
+  void open_server(ConnId id) override;
+  void to_server(ConnId id, const Call& c) override;
+  void close_server(ConnId id) override;
+  void lost(ConnId id);  // the database has ended the connection
+  void client_bytes(const std::shared_ptr<ClientConn>& c, std::string_view bytes);
+  void to_client(const std::shared_ptr<ClientConn>& c, const std::string& bytes);
+  void client_leaves(const std::shared_ptr<ClientConn>& c);
+};
+
+struct World {
+  explicit World(std::uint32_t seed);
+  std::mt19937 rng;
+  Millis now = 1000;
+  std::multimap<Millis, std::function<void()>> events;
+  std::array<std::unique_ptr<Ship>, kShips> ships;
+  std::array<std::uint64_t, kShips> lives{};
+  std::array<std::string, kShips> database, service;  // the life that is there now; empty: none
+  std::array<double, kShips> bad{};
+  std::set<std::pair<int, int>> cuts;
+  std::vector<std::shared_ptr<Link>> links;
+  std::map<std::string, Try> tries;
+  std::vector<Run> runs;
+  std::map<std::string, std::string> life_service;
+  std::vector<Row> rows;
+  std::uint64_t number = 1;
+  int asked = 0, born = 0, dialled = 0, served = 0, refused = 0, unknown = 0, elsewhere = 0, taken_back = 0,
+      repeated = 0;
+
+  static Endpoint where(int i) { return {"10.0.0." + std::to_string(i + 1), 7002}; }
+  static int of(const Endpoint& e) { return std::stoi(e.host.substr(7)) - 1; }
+  int pick(int n) { return int(rng() % std::uint32_t(n)); }
+  bool chance(double p) { return double(rng()) < p * 4294967296.0; }
+  void later(Millis ms, std::function<void()> fn) { events.emplace(now + ms, std::move(fn)); }
+  bool cut(int a, int b) const { return cuts.count({std::min(a, b), std::max(a, b)}) > 0; }
+
+  // --- troubles ---------------------------------------------------------------
+  void new_database(int i, const std::string& of_service);
+  void tell(int i);  // the beat reaches the lighter
+  void kill(int i);
+  void reset(const std::shared_ptr<Link>& l);
+  void trouble();
+
+  // --- steps ------------------------------------------------------------------
+  void ask(int ship);
+  void move_clients(Ship& s);
+  void move_links();
+  void move_database(Ship& s);
+  void arrive(Ship& s, ConnId conn, const HttpMessage& m);
+  void say(DatabaseConn& c, Millis after, const std::string& bytes);
+  void dial_done(const std::shared_ptr<Link>& l);
+  void end_out(const std::shared_ptr<Link>& l);
+  void end_in(const std::shared_ptr<Link>& l);
+  void step();
+  void check();
+};
+
+inline void Ship::set_time() {
+  out.set_time(w.now);
+  in.set_time(w.now);
+}
+
+inline Ship::Ship(World& world, int n)
+    : w(world),
+      no(n),
+      life(world.lives[std::size_t(n)]),
+      out(*this, timers, chart,
+          {"z" + std::to_string(n % 2), "caller", 0.5, 20.0, 10000, std::uint32_t(world.rng())}),
+      in(*this, timers) {
+  chart.apply(w.number, w.rows);
+  set_time();
+  out.fleet(kShips);
+  out.sure(true);
+}
+
+// --- clients ------------------------------------------------------------------
+
+inline void Ship::client_bytes(const std::shared_ptr<ClientConn>& c, std::string_view bytes) {
+  std::string written;
+  set_time();
+  auto got = c->line.read(bytes, last_call, written);
+  for (auto& a : got) calls[a.id] = c;
+  to_client(c, written);
+  for (auto& a : got)
+    if (calls.count(a.id)) out.call(a.id, std::move(a.call));
+}
+
+inline void Ship::answer(CallId id, Reply r) {
+  auto it = calls.find(id);
+  if (it == calls.end()) return;
+  auto c = it->second;
+  calls.erase(it);
+  to_client(c, c->line.answer(id, std::move(r)));
+}
+
+// The client reads what is written: the answer at each place must be that of the request asked there.
+inline void Ship::to_client(const std::shared_ptr<ClientConn>& c, const std::string& written) {
+  std::string_view bytes = written;
+  while (!bytes.empty() && !c->closed) {
+    ASSERT_FALSE(c->asked.empty()) << "an answer that nobody asked for";
+    const std::string id = c->asked.front();
+    Try& t = w.tries[id];
+    c->answers.no_body(t.head);
+    std::size_t took = 0;
+    ASSERT_EQ(int(c->answers.feed(bytes, took)), int(HttpReader::State::kDone)) << "not a whole answer";
+    bytes.remove_prefix(took);
+    HttpMessage m = c->answers.take();
+    c->asked.pop_front();
+    ++t.answers;
+    t.status = m.status;
+    auto* named = find_field(m.fields, kIdField);
+    ASSERT_TRUE(!named || *named == id) << "the answer to another request";
+    if (auto* run = find_field(m.fields, "X-Run")) {
+      const Run& r = w.runs[std::size_t(std::stoi(*run))];
+      ASSERT_EQ(r.id, id) << "the answer to another request";
+      ASSERT_EQ(t.head ? "" : r.body, m.body) << "parts of two answers";
+      ASSERT_FALSE(r.broken_off) << "an answer of a connection that had ended";
+    } else {
+      ASSERT_TRUE(m.body.empty()) << "a body of nobody's";
+      ASSERT_GE(m.status, 400);
+    }
+    ASSERT_TRUE(m.status != 200 || find_field(m.fields, kSealField));
+    for (int s : {408, 421, 429, 503}) t.promised = t.promised || m.status == s;
+    for (auto& x : t.writings)
+      ASSERT_TRUE(x.denied || !t.promised) << id << " is promised not to run, but was written";
+    ++(m.status == 200 ? w.served : m.status == 503 ? w.refused : w.unknown);
+    if (m.keep_alive) continue;
+    c->closed = true;
+    ASSERT_TRUE(bytes.empty()) << "bytes behind an answer that closes";
+    // What was sent behind it counts as not read, and is sent again whatever its kind.
+    for (auto& rest : c->asked) w.tries[rest].promised = true;
+  }
+  if (c->line.over()) c->closed = true;
+}
+
+inline void Ship::client_leaves(const std::shared_ptr<ClientConn>& c) {
+  c->closed = true;
+  for (auto& id : c->asked) w.tries[id].gone = true;
+  set_time();
+  for (auto id : c->line.open())
+    if (calls.erase(id)) out.client_gone(id);
+}
+
+inline void World::ask(int n) {
+  Ship& s = *ships[std::size_t(n)];
+  std::shared_ptr<ClientConn> c;
+  for (auto& x : s.clients)
+    if (!x->closed && x->asked.size() < 3 && (x->asked.empty() || chance(0.5))) c = x;
+  if (!c) {
+    if (s.leaving || s.clients.size() >= 4) return;
+    c = s.clients.emplace_back(std::make_shared<ClientConn>(Limits{}));
+  }
+  const std::string id = "q" + std::to_string(++asked);
+  Try& t = tries[id];
+  t.safe = chance(0.5);
+  t.service = chance(0.5) ? "s" : "t";
+  t.head = t.safe && chance(0.08);
+  t.method = t.head ? "HEAD" : t.safe ? "GET" : "POST";
+  t.path = "/" + t.service + (t.safe ? "/safe/" : "/once/") + id;
+  if (!t.safe) t.body = "body of " + id + std::string(std::size_t(pick(200)), 'b');
+  t.ship = n;
+  t.began = now;
+  std::string bytes = t.method + " " + t.path + " HTTP/1.1\r\nHost: h\r\n" + kIdField + ": " + id + "\r\n" +
+                      kDeadlineField + ": " + std::to_string(60 + pick(400)) + "\r\n";
+  if (chance(0.02)) bytes += "Connection: close\r\n";
+  if (t.body.empty()) {
+    bytes += "\r\n";
+  } else if (chance(0.5)) {
+    bytes += "Content-Length: " + std::to_string(t.body.size()) + "\r\n\r\n" + t.body;
+  } else {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx", t.body.size());
+    bytes += "Transfer-Encoding: chunked\r\n\r\n" + std::string(size) + "\r\n" + t.body +
+             "\r\n0\r\nX-Pebblespindle-Request-Id: forged\r\n\r\n";
+  }
+  c->asked.push_back(id);
+  Millis at = c->in.empty() ? now : c->in.back().at;
+  while (!bytes.empty()) {
+    std::size_t n_bytes = chance(0.7) ? bytes.size() : 1 + std::size_t(pick(int(bytes.size())));
+    c->in.push_back({at += pick(2), bytes.substr(0, n_bytes), n_bytes == bytes.size() ? id : ""});
+    bytes.erase(0, n_bytes);
+    if (!bytes.empty() && chance(0.05)) at += 60;
+  }
+}
+
+inline void World::move_clients(Ship& s) {
+  auto list = s.clients;
+  for (auto& c : list) {
+    while (!c->closed && !c->in.empty() && c->in.front().at <= now) {
+      Piece p = std::move(c->in.front());
+      c->in.pop_front();
+      if (!p.whole.empty()) tries[p.whole].whole = true;
+      s.client_bytes(c, p.bytes);
+    }
+    if (!c->closed && chance(0.0015)) s.client_leaves(c);
+  }
+  std::erase_if(s.clients, [](auto& c) { return c->closed; });
+}
+
+// --- links --------------------------------------------------------------------
+
+inline void Ship::offer(const Endpoint& to, const Json& frame) {
+  const int peer = World::of(to);
+  if (peer == no) {  // this machine's own half
+    auto l = life;
+    w.later(0, [this, &world = w, n = no, l, bytes = packed(frame)] {
+      if (world.lives[std::size_t(n)] != l) return;
+      set_time();
+      auto m = unpacked(bytes);
+      text(*m, "t") == "q" ? in.offer(0, *m) : in.cancel(0, lighter::number(*m, "n"));
+    });
+    return;
+  }
+  auto& l = links[to];
+  if (!l) {
+    l = std::make_shared<Link>();
+    l->from = no;
+    l->to = peer;
+    l->at = to;
+    w.links.push_back(l);
+    w.later(w.cut(no, peer) || w.chance(0.1) ? 40 + w.pick(80) : 1 + w.pick(3),
+            [&world = w, link = l] { world.dial_done(link); });
+  }
+  if (!l->up)
+    l->held.emplace_back(lighter::number(frame, "n"), packed(frame));
+  else
+    l->ahead.emplace_back(w.now + 1 + w.pick(2), packed(frame));
+}
+
+inline bool Ship::withdraw(const Endpoint& to, std::uint64_t n) {
+  auto it = links.find(to);
+  if (it != links.end() && !it->second->up) {
+    bool held = std::erase_if(it->second->held, [&](auto& h) { return h.first == n; }) > 0;
+    w.taken_back += held;
+    return held;
+  }
+  if (it != links.end() || World::of(to) == no) offer(to, {{"t", "x"}, {"n", n}});
+  return false;
+}
+
+inline void Ship::reply(LinkId link, const Json& frame) {
+  if (link == 0) {
+    auto l = life;
+    w.later(0, [this, &world = w, n = no, l, bytes = packed(frame)] {
+      if (world.lives[std::size_t(n)] != l) return;
+      set_time();
+      out.frame(World::where(no), *unpacked(bytes));
+    });
+    return;
+  }
+  for (auto& l : w.links)
+    if (l->to == no && l->to_life == life && l->id == link && l->in_open)
+      l->back.emplace_back(w.now + 1 + w.pick(2), packed(frame));
+}
+
+inline void World::dial_done(const std::shared_ptr<Link>& l) {
+  if (!l->out_open) return;
+  Ship& from = *ships[std::size_t(l->from)];
+  if (!ships[std::size_t(l->to)] || cut(l->from, l->to)) {
+    l->out_open = false;
+    from.links.erase(l->at);
+    from.set_time();
+    return from.out.link_down(l->at, false);
+  }
+  Ship& to = *ships[std::size_t(l->to)];
+  l->to_life = to.life;
+  l->id = ++to.last_link;
+  l->up = l->in_open = true;
+  for (auto& [n, bytes] : std::exchange(l->held, {})) l->ahead.emplace_back(now + 1, bytes);
+}
+
+inline void World::end_out(const std::shared_ptr<Link>& l) {
+  if (!std::exchange(l->out_open, false)) return;
+  Ship& from = *ships[std::size_t(l->from)];
+  from.links.erase(l->at);
+  from.set_time();
+  from.out.link_down(l->at, true);
+}
+
+inline void World::end_in(const std::shared_ptr<Link>& l) {
+  if (!std::exchange(l->in_open, false)) return;
+  Ship& to = *ships[std::size_t(l->to)];
+  to.set_time();
+  to.in.link_gone(l->id);
+}
+
+// Both ends hear of it in their own time; what was on its way may still arrive, or not.
+inline void World::reset(const std::shared_ptr<Link>& l) {
+  if (!l->up) return;
+  if (chance(0.5)) l->ahead.clear();
+  if (chance(0.5)) l->back.clear();
+  later(pick(30), [this, l] { end_out(l); });
+  later(pick(200), [this, l] { end_in(l); });
+}
+
+inline void World::move_links() {
+  for (auto list = links; auto& l : list) {
+    if (!l->up) continue;
+    if (cut(l->from, l->to)) {  // the kernel holds what is sent, and gives up after a while
+      if (l->out_open && !l->ahead.empty() && l->ahead.front().first + kStallMs <= now) {
+        if (chance(0.5)) l->ahead.clear();  // else it had arrived, and only its receipt was lost
+        end_out(l);
+      }
+      continue;
+    }
+    while (l->in_open && !l->ahead.empty() && l->ahead.front().first <= now) {
+      auto m = unpacked(l->ahead.front().second);
+      l->ahead.pop_front();
+      Ship& to = *ships[std::size_t(l->to)];
+      to.set_time();
+      text(*m, "t") == "q" ? to.in.offer(l->id, *m) : to.in.cancel(l->id, lighter::number(*m, "n"));
+    }
+    while (l->out_open && !l->back.empty() && l->back.front().first <= now) {
+      auto m = unpacked(l->back.front().second);
+      l->back.pop_front();
+      Ship& from = *ships[std::size_t(l->from)];
+      from.set_time();
+      from.out.frame(l->at, *m);
+    }
+    if (!l->out_open && l->in_open && chance(0.02)) end_in(l);
+    if (l->out_open && !l->in_open && chance(0.1)) end_out(l);
+  }
+  std::erase_if(links, [](auto& l) { return !l->out_open && !l->in_open; });
+}
+
+}  // namespace pebblespindle::test::mesh
--- a/tests/lighter_test.cc
+++ b/tests/lighter_test.cc
@@ -46,6 +46,10 @@
   Ship(Mesh& m, int n);
   void answer(CallId id, Reply r) override;
   void offer(const Endpoint& to, const Json& frame) override;
+  bool withdraw(const Endpoint& to, std::uint64_t n) override {
+    offer(to, {{"t", "x"}, {"n", n}});
+    return false;
+  }
   void reply(LinkId link, const Json& frame) override;
   void open_server(ConnId id) override;
   void to_server(ConnId id, const Call& c) override;
