Mesh: a seeded fuzz over HTTP readers, pipelines, answers and frames; NUL in a field refused

Cause: bad input was tried on a few hand-made requests only. http_parser lets a NUL pass at the start of a field's value. Change: tests/fuzz_mesh_test.cc; a NUL in a value is bad input on both sides.

--- a/src/keel/http_reader.cc
+++ b/src/keel/http_reader.cc
@@ -47,6 +47,7 @@
   settings_.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
     auto& r = self(p);
     if (r.head_done_) return 0;
+    if (std::find(at, at + n, '\0') != at + n) return 1;  // the library lets it pass at a value's start
     r.in_value_ = true;
     return r.grow(r.message_.fields.back().second, at, n);
   };
--- /dev/null
+++ b/tests/fuzz_mesh_test.cc
@@ -0,0 +1,477 @@
+// Random and mutated bytes against everything of the mesh that reads what others send: the readers of HTTP on
+// both sides, pipelines, databases' answers, frames and what is in them. No crash, bounded memory, 400 or a
+// close, and never an answer to another caller. PEBBLESPINDLE_SEEDS asks for a longer form.
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "lighter/app_reader.h"
+#include "lighter/frame.h"
+#include "lighter/inbound.h"
+#include "lighter/outbound.h"
+#include "lighter/pipeline.h"
+#include "ordinance/ordinance.h"
+
+namespace pebblespindle::test::fuzz {
+namespace {
+
+using namespace lighter;
+
+int rounds(int usual) {
+  const char* more = std::getenv("PEBBLESPINDLE_SEEDS");
+  return more ? std::max(1, std::atoi(more)) : usual;
+}
+
+struct Source {
+  explicit Source(std::uint32_t seed) : rng(seed) {}
+  std::mt19937 rng;
+  std::size_t pick(std::size_t n) { return rng() % std::max<std::size_t>(1, n); }
+  bool chance(double p) { return double(rng()) < p * 4294967296.0; }
+  std::string noise(std::size_t most) {
+    std::string s(pick(most), ' ');
+    for (auto& c : s) c = char(rng());
+    return s;
+  }
+  // A few small injuries; `words` are what may get in.
+  std::string mutate(std::string s, const std::vector<std::string>& words) {
+    for (std::size_t n = pick(4); n > 0 && !s.empty(); --n) {
+      const std::size_t at = pick(s.size());
+      switch (pick(6)) {
+        case 0:
+          s[at] = char(rng());
+          break;
+        case 1:
+          s.erase(at, 1 + pick(8));
+          break;
+        case 2:
+          s.insert(at, words[pick(words.size())]);
+          break;
+        case 3:
+          s.insert(at, s.substr(pick(s.size()), pick(40)));
+          break;
+        case 4:
+          s.insert(at, noise(12));
+          break;
+        default:
+          s.resize(at);
+      }
+    }
+    return s;
+  }
+  // Hands the bytes on in pieces.
+  template <class F>
+  void pieces(std::string_view s, F f) {
+    while (!s.empty()) {
+      std::size_t n = chance(0.3) ? s.size() : 1 + pick(std::min<std::size_t>(s.size(), 40));
+      if (!f(s.substr(0, n))) return;
+      s.remove_prefix(n);
+    }
+  }
+};
+
+const std::vector<std::string> kWords{"\r\n",
+                                      "\n",
+                                      "\r",
+                                      "\r\n\r\n",
+                                      "Content-Length: 3\r\n",
+                                      "Content-Length: 99999999999999999999\r\n",
+                                      "Content-Length: -1\r\n",
+                                      "Transfer-Encoding: chunked\r\n",
+                                      "Transfer-Encoding: gzip\r\n",
+                                      "Transfer-Encoding : chunked\r\n",
+                                      "ffffffffffffffff\r\n",
+                                      "0\r\n\r\n",
+                                      "Connection: close\r\n",
+                                      "Connection: upgrade\r\nUpgrade: x\r\n",
+                                      "Host: other\r\n",
+                                      " folded\r\n",
+                                      std::string("\0", 1),
+                                      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                      "HTTP/1.1 100 Continue\r\n\r\n",
+                                      "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+                                      "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                                      "X-Pebblespindle-Request-Id: q2\r\n",
+                                      "X-Pebblespindle-Not-Executed: 1\r\n",
+                                      "X-Pebblespindle-Response-Seal: s\r\n"};
+
+std::string requests(Source& s) {
+  std::string out;
+  for (std::size_t n = 1 + s.pick(3); n > 0; --n) {
+    const std::string head = "/s/once/x HTTP/1.1\r\nHost: h\r\nX-Pebblespindle-Request-Id: q1\r\n";
+    switch (s.pick(4)) {
+      case 0:
+        out += "GET " + head + "\r\n";
+        break;
+      case 1:
+        out += "POST " + head + "Content-Length: 5\r\n\r\nhello";
+        break;
+      case 2:
+        out += "POST " + head + "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\nTrail: 1\r\n\r\n";
+        break;
+      default:
+        out += "HEAD " + head + "Connection: close\r\n\r\n";
+    }
+  }
+  return out;
+}
+
+struct Heard {
+  std::vector<std::string> messages;
+  HttpReader::State end = HttpReader::State::kMore;
+};
+
+Heard read_all(HttpReader::Kind kind, std::string_view bytes, Source* cut) {
+  HttpReader r(kind, 300, 100);
+  Heard h;
+  auto feed = [&](std::string_view piece) {
+    while (!piece.empty()) {
+      std::size_t took = 0;
+      h.end = r.feed(piece, took);
+      if (h.end == HttpReader::State::kMore) return true;
+      if (h.end != HttpReader::State::kDone) return false;
+      EXPECT_GT(took, 0u);
+      EXPECT_LE(took, piece.size());
+      piece.remove_prefix(std::min(took, piece.size()));
+      HttpMessage m = r.take();
+      std::size_t head = m.target.size();
+      std::string all = m.method + " " + m.target + " " + std::to_string(m.status) + "\n";
+      for (auto& [name, value] : m.fields) {
+        head += name.size() + value.size();
+        EXPECT_TRUE(one_line(name) && one_line(value)) << "a field that is two lines: " << testing::PrintToString(name + ":" + value);
+        all += name + ":" + value + "\n";
+      }
+      EXPECT_LE(head, 300u);
+      EXPECT_LE(m.body.size(), 100u);
+      h.messages.push_back(all + m.body);
+    }
+    return true;
+  };
+  if (cut)
+    cut->pieces(bytes, feed);
+  else
+    feed(bytes);
+  return h;
+}
+
+// What is read does not hang on how it is cut: else two readers see two messages.
+TEST(FuzzMesh, HttpReadersTakeTheSameFromAnyPieces) {
+  std::size_t whole = 0, bad = 0;
+  for (int seed = 1; seed <= rounds(20000); ++seed) {
+    SCOPED_TRACE(seed);
+    Source s{std::uint32_t(seed)};
+    const bool ask = s.chance(0.5);
+    std::string bytes = ask ? requests(s)
+                            : "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\nhelloHTTP/1.1 201 C\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    bytes = s.chance(0.05) ? s.noise(300) : s.mutate(bytes, kWords);
+    const auto kind = ask ? HttpReader::Kind::kRequests : HttpReader::Kind::kResponses;
+    const Heard one = read_all(kind, bytes, nullptr), two = read_all(kind, bytes, &s);
+    ASSERT_EQ(one.messages, two.messages) << bytes;
+    const bool bad_one = one.end >= HttpReader::State::kBad, bad_two = two.end >= HttpReader::State::kBad;
+    ASSERT_EQ(bad_one, bad_two) << bytes;
+    whole += one.messages.size();
+    bad += bad_one;
+  }
+  EXPECT_GT(whole, 0u);
+  EXPECT_GT(bad, 0u);
+}
+
+// A client is given an answer for each of its requests in order, 400, 408, 413 or 431 as the last, or
+// nothing.
+TEST(FuzzMesh, PipelinesAnswerInOrderWhateverIsSent) {
+  Limits limits;
+  limits.header_bytes = 300;
+  limits.body_bytes = 100;
+  int refused = 0;
+  for (int seed = 1; seed <= rounds(10000); ++seed) {
+    SCOPED_TRACE(seed);
+    Source s{std::uint32_t(seed)};
+    Pipeline line(limits);
+    CallId last = 0;
+    std::vector<CallId> open, order;
+    std::string out;
+    const std::string bytes = s.mutate(requests(s), kWords);
+    auto answer = [&](std::size_t i) {
+      out += line.answer(open[i], {200, "for " + std::to_string(open[i]), {}});
+      open.erase(open.begin() + std::ptrdiff_t(i));
+    };
+    s.pieces(bytes, [&](std::string_view piece) {
+      for (auto& a : line.read(piece, last, out)) {
+        open.push_back(a.id), order.push_back(a.id);
+        EXPECT_EQ(count_fields(a.call.fields, "Host"), 1u);
+        EXPECT_LE(count_fields(a.call.fields, kIdField), 1u);
+        EXPECT_TRUE(one_word(a.call.method) && one_word(a.call.target));
+        EXPECT_LE(a.call.body.size(), 100u);
+      }
+      while (!open.empty() && s.chance(0.4)) answer(s.pick(open.size()));
+      return true;
+    });
+    if (s.chance(0.3)) out += line.expired();
+    while (!open.empty()) answer(s.pick(open.size()));
+    EXPECT_LE(line.waiting(), 1u);
+    std::size_t at = 0;
+    for (std::string_view rest = out; !rest.empty();) {
+      HttpReader r(HttpReader::Kind::kResponses, 1000, 1000);
+      // A HEAD's answer has no body; the only one without a length here.
+      const auto head_end = rest.find("\r\n\r\n");
+      ASSERT_NE(head_end, std::string_view::npos);
+      r.no_body(rest.substr(0, head_end).find("Content-Length") == std::string_view::npos);
+      std::size_t took = 0;
+      ASSERT_EQ(int(r.feed(rest, took)), int(HttpReader::State::kDone)) << out;
+      rest.remove_prefix(took);
+      HttpMessage m = r.take();
+      if (m.status == 200) {
+        ASSERT_LT(at, order.size());
+        ASSERT_TRUE(m.body.empty() || m.body == "for " + std::to_string(order[at])) << "out of order";
+        ++at;
+      } else {
+        ASSERT_TRUE(m.status == 400 || m.status == 408 || m.status == 413 || m.status == 431) << m.status;
+        ASSERT_TRUE(rest.empty()) << "something behind the last answer";
+        ASSERT_TRUE(line.over());
+        ++refused;
+      }
+    }
+    ASSERT_EQ(at, order.size());
+  }
+  EXPECT_GT(refused, 0);
+}
+
+// --- the database's side -----------------------------------------------------------
+
+struct Beside : InPort {
+  Timers timers;
+  Inbound in{*this, timers};
+  Millis now = 1000;
+  struct Conn {
+    AppReader reader;
+    std::string id;
+  };
+  std::map<ConnId, Conn> conns;
+  std::map<std::uint64_t, int> answers;
+  std::map<std::uint64_t, Call> asked;
+  int given = 0, failed = 0;
+  void reply(LinkId, const Json& m) override {
+    const std::uint64_t n = number(m, "n");
+    ASSERT_LE(++answers[n], 1) << "answered twice";
+    if (text(m, "t") != "a") {
+      ++failed;
+      return;
+    }
+    ++given;
+    const HttpFields fields = fields_from(m["h"]);
+    auto* id = find_field(fields, kIdField);
+    ASSERT_TRUE(!id || *id == "q" + std::to_string(n)) << "another caller's answer";
+    const auto status = figure(m, "s", 0, 0, 999);
+    ASSERT_TRUE(status >= 200 && status < 600);
+    ASSERT_TRUE(status >= 300 || find_field(fields, kSealField));
+  }
+  void open_server(ConnId id) override { conns[id]; }
+  void to_server(ConnId id, const Call& c) override {
+    conns[id].reader.asked(c.method == "HEAD");
+    conns[id].id = *find_field(c.fields, kIdField);
+  }
+  void close_server(ConnId id) override { conns.erase(id); }
+  void step(Millis ms) {
+    now += ms;
+    in.set_time(now);
+    timers.run(now);
+  }
+  void hear(ConnId id, std::string_view bytes) {
+    in.server_bytes(id);
+    if (!conns.count(id)) return;
+    std::vector<AppReader::Answer> got;
+    const bool fine = conns[id].reader.feed(bytes, got);
+    for (auto& a : got) {
+      in.server_reply(id, std::move(a.reply), a.keep_ms);
+      if (!conns.count(id)) return;
+    }
+    if (fine) return;
+    conns.erase(id);
+    in.server_down(id, false);
+  }
+};
+
+Json offer(std::uint64_t n, Source& s) {
+  const std::string id = "q" + std::to_string(n);
+  return {{"t", "q"},
+          {"n", n},
+          {"i", "db"},
+          {"m", s.chance(0.1) ? "HEAD" : "GET"},
+          {"u", "/s/x"},
+          {"h", Json::array({"Host", "h", kIdField, id})},
+          {"b", ""},
+          {"d", 200},
+          {"w", s.pick(2) * 50},
+          {"a", 100},
+          {"p", 1},
+          {"s", s.chance(0.5)},
+          {"c", "me"}};
+}
+
+TEST(FuzzMesh, WhatDatabasesSayReachesTheirOwnCallersOnly) {
+  int given = 0, failed = 0;
+  for (int seed = 1; seed <= rounds(6000); ++seed) {
+    SCOPED_TRACE(seed);
+    Source s{std::uint32_t(seed)};
+    Beside b;
+    b.step(0);
+    b.in.database(Instance{{"db"}, "s", "z", {"10.0.0.1", 1}, 2, false, false, 1});
+    for (std::uint64_t n = 1; n <= 12; ++n) {
+      b.in.offer(1, offer(n, s));
+      for (int round = 0; round < 3; ++round) {
+        std::vector<ConnId> ids;
+        for (auto& [id, c] : b.conns) ids.push_back(id);
+        for (auto id : ids) {
+          if (!b.conns.count(id)) continue;
+          if (b.conns[id].id.empty()) {
+            b.in.server_up(id);
+            continue;
+          }
+          const std::string of = s.chance(0.8) ? b.conns[id].id : "q" + std::to_string(1 + s.pick(12));
+          std::string ok = std::string("HTTP/1.1 ") + (s.chance(0.8) ? "200 OK" : "503 Busy") + "\r\n" +
+                           kIdField + ": " + of + "\r\n" + kSealField +
+                           ": s\r\nContent-Length: 4\r\n\r\nbody";
+          if (s.chance(0.5)) ok = s.chance(0.1) ? s.noise(60) : s.mutate(ok, kWords);
+          s.pieces(ok, [&](std::string_view piece) {
+            if (b.conns.count(id)) b.hear(id, piece);
+            return b.conns.count(id) > 0;
+          });
+        }
+        b.step(Millis(s.pick(20)));
+        if (HasFatalFailure()) return;
+      }
+    }
+    b.step(300);
+    given += b.given, failed += b.failed;
+    for (std::uint64_t n = 1; n <= 12; ++n) ASSERT_EQ(b.answers[n], 1) << "no outcome for " << n;
+  }
+  EXPECT_GT(given, 0);
+  EXPECT_GT(failed, 0);
+}
+
+// --- frames -----------------------------------------------------------------------------
+
+TEST(FuzzMesh, FramesThatNestOrLieAreRefused) {
+  EXPECT_FALSE(unpacked(std::string(1 << 20, char(0x91)))) << "a million lists in each other";
+  EXPECT_FALSE(unpacked(std::string(1 << 20, char(0x81))));
+  EXPECT_FALSE(unpacked(std::string("\xdd\xff\xff\xff\xff", 5))) << "a list longer than its bytes";
+  EXPECT_FALSE(unpacked(std::string("\xdb\xff\xff\xff\xff", 5)));
+  EXPECT_FALSE(unpacked(""));
+  EXPECT_FALSE(unpacked("\x01")) << "no object";
+  Json deep = Json::object();
+  deep["h"] = Json::array({"Host", "h"});
+  EXPECT_EQ(unpacked(packed(deep)), deep);
+  EXPECT_FALSE(unpacked(packed(deep) + "x")) << "more than a frame";
+  const Json odd{{"a", 1e300}, {"b", -1e300}, {"c", std::nan("")}, {"d", "7"}, {"e", -3}, {"f", 3.9}};
+  EXPECT_EQ(figure(odd, "a", 1, 0, 9), 9);
+  EXPECT_EQ(figure(odd, "b", 1, 0, 9), 0);
+  EXPECT_EQ(figure(odd, "c", 1, 0, 9), 0);
+  EXPECT_EQ(figure(odd, "d", 1, 0, 9), 1);
+  EXPECT_EQ(number(odd, "e"), 0u);
+  EXPECT_EQ(figure(odd, "f", 1, 0, 9), 3);
+}
+
+struct Caller : OutPort {
+  Timers timers;
+  Chart chart;
+  std::map<CallId, int> answers;
+  std::vector<Json> offers;
+  std::vector<Endpoint> where;
+  int own = 0;
+  Outbound out{*this, timers, chart, {"z", "me", 0.2, 8.0, 10000, 1}};
+  void answer(CallId id, Reply r) override {
+    ASSERT_LE(++answers[id], 1) << "answered twice";
+    ASSERT_TRUE(r.status >= 200 && r.status < 600) << r.status;
+    for (auto& [name, value] : r.fields)
+      ASSERT_TRUE(one_word(name) && one_line(value)) << "two answers in one";
+  }
+  void offer(const Endpoint& at, const Json& m) override { offers.push_back(m), where.push_back(at); }
+  bool withdraw(const Endpoint&, std::uint64_t) override { return false; }
+};
+
+// Frames as another process may send them by a fault: every field with its injuries, and bytes with theirs.
+TEST(FuzzMesh, FramesOfAnyKindLeaveOneAnswerToEachCall) {
+  Json c{{"Revision", 1}, {"Services", {{{"Name", "s"}}}}, {"Routes", Json::array()}};
+  c["Routes"].push_back({{"Name", "r"},
+                         {"Hostname", "h"},
+                         {"PathPrefix", "/s/"},
+                         {"RouteType", "idempotent"},
+                         {"TimeoutMs", 300},
+                         {"TargetLatencyMs", 100},
+                         {"MaxAttempts", 2},
+                         {"TargetService", "s"}});
+  std::vector<Row> rows;
+  for (auto& [key, value] : configuration_parts(*read_configuration(c.dump()).value))
+    rows.push_back({key, value, 1, false});
+  for (int i = 0; i < 3; ++i) {
+    Instance in{{"db" + std::to_string(i)}, "s", "z", {"10.0.0." + std::to_string(i), 1}, 2, false, false, 1};
+    rows.push_back({instance_key(in.id), in.json().dump(), 1, false});
+  }
+  const std::vector<Json> odd{nullptr,
+                              true,
+                              -1,
+                              1e300,
+                              std::uint64_t(-1),
+                              70000,
+                              "",
+                              "a\r\nb: c",
+                              Json::array({1, "x"}),
+                              Json::object(),
+                              "q",
+                              "a",
+                              "no",
+                              "fail",
+                              "full"};
+  for (int seed = 1; seed <= rounds(3000); ++seed) {
+    SCOPED_TRACE(seed);
+    Source s{std::uint32_t(seed)};
+    Caller caller;
+    Beside b;
+    b.step(0);
+    b.in.database(Instance{{"db"}, "s", "z", {"10.0.0.1", 1}, 2, false, false, 1});
+    caller.chart.apply(1, rows);
+    caller.out.set_time(1000);
+    caller.out.sure(true);
+    auto injured = [&](Json m) -> std::optional<Json> {
+      for (auto& [key, value] : m.items())
+        if (s.chance(0.15)) value = odd[s.pick(odd.size())];
+      std::string bytes = packed(m);
+      if (s.chance(0.3)) bytes = s.mutate(bytes, {"\x81", "\x91", "\xc0", "\xd9", "\xcf", "\xa1t"});
+      return unpacked(bytes);
+    };
+    for (CallId id = 1; id <= 6; ++id)
+      caller.out.call(id, {"GET", "/s/x", "", {{"Host", "h"}, {kIdField, "q" + std::to_string(id)}}});
+    for (std::size_t i = 0; i < caller.offers.size() && i < 60; ++i) {
+      const Json offer_made = caller.offers[i];
+      Json told{{"t", std::array{"a", "no", "fail"}[s.pick(3)]},
+                {"n", number(offer_made, "n")},
+                {"s", 200},
+                {"y", "full"},
+                {"x", s.chance(0.1)},
+                {"w", s.chance(0.1)},
+                {"h", Json::array({kIdField, "q", "X-A", "b"})},
+                {"b", "body"},
+                {"l", Json::array({1, 2, 3, 4})}};
+      if (auto m = injured(told)) caller.out.frame(caller.where[i], *m);
+      if (auto m = injured(offer_made)) b.in.offer(1, *m);
+      if (auto m = injured(offer(100 + i, s))) {
+        // Its number may be any by now; only what can be told apart is counted.
+        (*m)["n"] = 1000 + i;
+        b.in.offer(1, *m);
+      }
+      b.answers.clear();
+      if (HasFatalFailure()) return;
+    }
+    for (Millis t = 1000; t < 1400; t += 10) {
+      caller.out.set_time(t);
+      caller.timers.run(t);
+    }
+    for (CallId id = 1; id <= 6; ++id) ASSERT_EQ(caller.answers[id], 1) << "call " << id;
+    ASSERT_EQ(caller.out.open_calls(), 0u);
+    b.step(2 * constants::kMostWaitMs);
+    ASSERT_EQ(b.in.busy(), 0u);
+  }
+}
+
+}  // namespace
+}  // namespace pebblespindle::test::fuzz
