--- /dev/null
+++ b/src/lighter/beats.h
@@ -0,0 +1,42 @@
+// Beats of the database beside that the core has not answered yet. Each answer goes to the call it answers: a
+// beat is known by its number, which rises; an end has a number of its own, so that no beat's answer is taken
+// for its acknowledgement. No I/O.
+#pragma once
+#include <functional>
+#include <limits>
+#include <map>
+
+#include "keel/constants.h"
+#include "keel/timers.h"
+
+namespace pebblespindle::lighter {
+
+class Beats {
+ public:
+  static constexpr std::uint64_t kEnd = std::numeric_limits<std::uint64_t>::max();
+  using Done = std::function<void(int status)>;
+  explicit Beats(Timers& timers) : timers_(timers) {}
+  void ask(Millis now, const InstanceId& id, std::uint64_t number, Done done) {
+    answered(id, number, 503);  // the same again: the former caller has gone on
+    waiting_[{id, number}] = {std::move(done), timers_.at(now + constants::kBeatAnswerMs,
+                                                          [this, id, number] { answered(id, number, 503); })};
+  }
+  void answered(const InstanceId& id, std::uint64_t number, int status) {
+    auto it = waiting_.find({id, number});
+    if (it == waiting_.end()) return;
+    Asked a = std::move(it->second);
+    waiting_.erase(it);
+    timers_.cancel(a.timer);
+    a.done(status);
+  }
+
+ private:
+  struct Asked {
+    Done done;
+    Timers::Id timer = 0;
+  };
+  Timers& timers_;
+  std::map<std::pair<InstanceId, std::uint64_t>, Asked> waiting_;
+};
+
+}  // namespace pebblespindle::lighter
--- a/src/lighter/lighter.cc
+++ b/src/lighter/lighter.cc
@@ -1,7 +1,6 @@
 // The sidecar proxy's process: joins its two halves to sockets, to the tender's feed, and to the beats of the
 // database beside it.
 #include <csignal>
-#include <limits>
 
 #include "keel/constants.h"
 #include "keel/feed_link.h"
@@ -10,6 +9,7 @@
 #include "keel/loop.h"
 #include "keel/registry.h"
 #include "keel/role.h"
+#include "lighter/beats.h"
 #include "lighter/front.h"
 #include "lighter/inbound.h"
 #include "lighter/outbound.h"
@@ -156,7 +156,7 @@
     if (r.method == "DELETE") {
       if (in_.database() && in_.database()->id == id) in_.database(std::nullopt);
       left_ = id;
-      return tell_core({{"t", "leave"}, {"id", id.value}}, id, kEnd, std::move(done));
+      return tell_core({{"t", "leave"}, {"id", id.value}}, id, Beats::kEnd, std::move(done));
     }
     if (r.method != "PUT") return done({404, "", {}});
     auto beat = read_beat(id.value, r.body);
@@ -172,28 +172,15 @@
 
   bool now_leased() const { return loop_.now() < lease_until_; }
 
-  // What the core must know is acknowledged only once it has said so. Beats are told apart by their number,
-  // which rises; an end has one of its own, so that no beat's answer is taken for its acknowledgement.
-  static constexpr std::uint64_t kEnd = std::numeric_limits<std::uint64_t>::max();
-  void tell_core(const Json& m, const InstanceId& id, std::uint64_t calls, HttpDone done) {
+  // What the core must know is acknowledged only once it has said so.
+  void tell_core(const Json& m, const InstanceId& id, std::uint64_t number, HttpDone done) {
     if (!feed_.up()) return done({503, "", {}});
-    auto key = std::make_pair(id, calls);
-    beat_answered(key, 503);  // the same again: the former caller has gone on
-    waiting_[key] = {std::move(done), loop_.timers().at(loop_.now() + kBeatAnswerMs,
-                                                        [this, key] { beat_answered(key, 503); })};
+    beats_.ask(loop_.now(), id, number, [done](int status) { done({status, "", {}}); });
     Json told = m;
-    told["calls"] = calls;
+    told["calls"] = number;
     feed_.send(told);
     loop_.rearm();
   }
-  void beat_answered(const std::pair<InstanceId, std::uint64_t>& key, int status) {
-    auto it = waiting_.find(key);
-    if (it == waiting_.end()) return;
-    Beat b = std::move(it->second);
-    waiting_.erase(it);
-    loop_.timers().cancel(b.timer);
-    b.done({status, "", {}});
-  }
 
   // --- the feed ---------------------------------------------------------------
 
@@ -223,7 +210,7 @@
       lease_number_ = m.value("k", std::uint64_t(0));
       out_.fleet(m.value("n", std::size_t(1)));
     } else if (t == "beaten") {
-      beat_answered({{m.value("id", "")}, m.value("calls", std::uint64_t(0))}, m.value("s", 503));
+      beats_.answered({m.value("id", "")}, m.value("calls", std::uint64_t(0)), m.value("s", 503));
     }
   }
 
@@ -264,11 +251,7 @@
   FeedLink feed_{
       loop_, settings_.feed(), {[this](std::string_view line) { on_feed(line); }, [this] { renew(); }}};
   InstanceId left_;
-  struct Beat {
-    HttpDone done;
-    Timers::Id timer = 0;
-  };
-  std::map<std::pair<InstanceId, std::uint64_t>, Beat> waiting_;  // those that the core has not answered
+  Beats beats_{loop_.timers()};
   Millis lease_until_ = 0;
   std::uint64_t lease_number_ = 0;
   bool leaving_ = false;
--- a/tests/answers_test.cc
+++ b/tests/answers_test.cc
@@ -1,6 +1,7 @@
 // Answers to their own callers, requests at most once, promises that stay true: the mesh under everything
 // that may end a connection, a process or a database in the middle of its work.
 #include "answers_databases.h"
+#include "lighter/beats.h"
 
 namespace pebblespindle::test::mesh {
 namespace {
@@ -42,5 +43,398 @@
   }
 }
 
+// --- one half at a time -----------------------------------------------------------
+
+struct Start : OutPort {  // where requests begin
+  Timers timers;
+  Chart chart;
+  Millis now = 1000;
+  std::map<CallId, Reply> answers;
+  std::vector<std::pair<Endpoint, Json>> offers;
+  std::vector<std::uint64_t> withdrawn;
+  std::set<std::uint64_t> held;  // offers whose link is being dialled
+  Outbound out{*this, timers, chart, {"z0", "caller", 0.2, 3.0, 10000, 7}};
+  Start() {
+    World w(1);
+    for (int i : {5, 6}) {  // so that there is always another to ask
+      Instance in{{"more" + std::to_string(i)}, "s", "z0", World::where(i), 2, false, false, 1};
+      w.rows.push_back({instance_key(in.id), in.json().dump(), 1, false});
+    }
+    chart.apply(1, w.rows);
+    step(0);
+    out.fleet(1);
+    out.sure(true);
+  }
+  void answer(CallId id, Reply r) override {
+    EXPECT_FALSE(answers.count(id));
+    answers[id] = std::move(r);
+  }
+  void offer(const Endpoint& at, const Json& m) override { offers.emplace_back(at, m); }
+  bool withdraw(const Endpoint&, std::uint64_t n) override {
+    withdrawn.push_back(n);
+    return held.count(n) > 0;
+  }
+  void step(Millis ms) {
+    for (Millis end = now + ms; now < end;) {
+      out.set_time(++now);
+      timers.run(now);
+    }
+    out.set_time(now);
+  }
+  void ask(CallId id, bool safe) {
+    out.call(id, {"GET", safe ? "/s/safe/x" : "/s/once/x", "", {{"Host", "h"}, {kIdField, "q"}}});
+  }
+  std::uint64_t n(std::size_t i) const { return lighter::number(offers.at(i).second, "n"); }
+  void say(std::size_t i, Json m) {
+    m["n"] = n(i);
+    out.frame(offers.at(i).first, m);
+  }
+  int status(CallId id) const { return answers.count(id) ? answers.at(id).status : 0; }
+};
+
+const Json kOk{{"t", "a"}, {"s", 200}, {"b", "ok"}};
+const Json kNotRun{{"t", "a"}, {"s", 503}, {"x", true}};
+const Json kFailed{{"t", "fail"}};
+const Json kGone{{"t", "no"}, {"y", "gone"}};
+
+TEST(Answers, AreTakenOnlyFromWhereTheyWereAsked) {
+  Start s;
+  s.ask(1, false);
+  s.out.frame({"10.9.9.9", 7002}, {{"t", "a"}, {"s", 200}, {"n", s.n(0)}});
+  EXPECT_EQ(s.status(1), 0) << "an answer of another address, or of a former life's number";
+  s.out.frame(s.offers[0].first, {{"t", "a"}, {"s", 200}, {"n", s.n(0) + 1}});
+  EXPECT_EQ(s.status(1), 0);
+  s.say(0, kOk);
+  EXPECT_EQ(s.status(1), 200);
+  s.say(0, kFailed);  // twice
+}
+
+TEST(Answers, APromiseIsGivenForWhatIsStillHeldAndForNothingThatHasLeft) {
+  Start s;
+  s.ask(1, false);
+  s.ask(2, false);
+  s.held = {s.n(0)};
+  s.step(kRouteMs);
+  EXPECT_EQ(s.status(1), 503) << "it never left";
+  EXPECT_EQ(s.status(2), 504) << "it may run yet";
+  EXPECT_EQ(s.withdrawn.size(), 2u);
+  s.out.link_down(s.offers[0].first, false);  // the dial fails after its caller has been told
+  s.out.link_down(s.offers[1].first, true);
+  EXPECT_EQ(s.offers.size(), 2u);
+}
+
+TEST(Answers, ADialThatFailsHasRunNothingAndALinkThatEndsMayHave) {
+  Start s;
+  s.ask(1, false);
+  s.out.link_down(s.offers[0].first, false);
+  ASSERT_EQ(s.offers.size(), 2u) << "known not to have run: another database is asked";
+  s.out.link_down(s.offers[1].first, true);
+  EXPECT_EQ(s.offers.size(), 2u) << "it may have run";
+  EXPECT_EQ(s.status(1), 502);
+}
+
+TEST(Answers, WhatMayNotRunTwiceIsNeverAskedOfASecondDatabaseInASilence) {
+  Start s;
+  for (CallId id = 1; id <= 20; ++id) s.ask(id, false);
+  s.step(kRouteMs - 20);
+  EXPECT_EQ(s.offers.size(), 20u) << "a second database in a silence";
+  s.say(0, kFailed);
+  EXPECT_EQ(s.status(1), 502);
+  s.say(1, {{"t", "a"}, {"s", 503}});  // without the database's word
+  EXPECT_EQ(s.status(2), 502) << "503 is a promise, and nobody has given it";
+  EXPECT_EQ(s.offers.size(), 20u);
+  s.step(20);
+  for (CallId id = 3; id <= 20; ++id) EXPECT_EQ(s.status(id), 504);
+}
+
+// Silence everywhere: the budget says how many second databases are asked, 0.75 x (0.2 x 40 + 3).
+TEST(Answers, ASilenceOfAllIsNotAnsweredByAskingAllTwice) {
+  Start s;
+  for (CallId id = 1; id <= 40; ++id) s.ask(id, true);
+  s.step(kRouteMs - 20);
+  EXPECT_GT(s.offers.size(), 40u);
+  EXPECT_LE(s.offers.size(), 48u);
+}
+
+TEST(Answers, OfTwoThatAreAskedThePromiseOfOneIsNotThatOfBoth) {
+  for (bool first_promises : {true, false}) {
+    Start s;
+    s.ask(1, true);
+    s.step(kRouteMs - 100);
+    ASSERT_EQ(s.offers.size(), 2u) << "a second database is asked";
+    s.say(first_promises ? 0 : 1, kNotRun);
+    EXPECT_EQ(s.status(1), 0);
+    EXPECT_EQ(s.offers.size(), 2u) << "no third";
+    s.step(200);
+    EXPECT_EQ(s.status(1), 504) << "the other may run yet";
+    s.say(first_promises ? 1 : 0, kOk);  // late: nobody waits
+    EXPECT_EQ(s.out.open_calls(), 0u);
+  }
+  Start both;
+  both.ask(1, true);
+  both.step(kRouteMs - 100);
+  both.say(0, kNotRun);
+  both.say(1, kNotRun);
+  EXPECT_EQ(both.status(1), 503);
+  Start late;
+  late.ask(1, true);
+  late.step(kRouteMs - 100);
+  late.say(1, kOk);
+  EXPECT_EQ(late.status(1), 200);
+  late.say(0, kFailed);
+  late.say(0, kOk);
+  Start gone;
+  gone.ask(1, true);
+  gone.step(kRouteMs - 100);
+  gone.say(0, kGone);
+  gone.say(1, kFailed);
+  EXPECT_EQ(gone.status(1), 0);
+  EXPECT_EQ(gone.offers.size(), 3u) << "one came to a database: another may be asked";
+  gone.say(2, kFailed);
+  EXPECT_EQ(gone.status(1), 502);
+}
+
+TEST(Answers, AStatusThatIsNoneEndsNobodysWait) {
+  Start s;
+  s.ask(1, false);
+  s.say(0, {{"t", "a"}, {"s", 0}});
+  EXPECT_EQ(s.status(1), 502);
+}
+
+// --- beside a database ------------------------------------------------------------
+
+struct Beside : InPort {
+  Timers timers;
+  Millis now = 1000;
+  Inbound in{*this, timers};
+  std::map<std::uint64_t, Json> replies;
+  std::vector<ConnId> opened, closed;
+  std::vector<std::pair<ConnId, Call>> written;
+  Beside() {
+    step(0);
+    in.database(life("a"));
+  }
+  static Instance life(const std::string& id, int slots = 2) {
+    return {{id}, "s", "z0", World::where(0), slots, false, false, 1};
+  }
+  void reply(LinkId, const Json& m) override {
+    EXPECT_FALSE(replies.count(m["n"])) << "two outcomes of one offer";
+    replies[m["n"]] = m;
+  }
+  void open_server(ConnId id) override { opened.push_back(id); }
+  void to_server(ConnId id, const Call& c) override { written.emplace_back(id, c); }
+  void close_server(ConnId id) override { closed.push_back(id); }
+  void step(Millis ms) {
+    now += ms;
+    in.set_time(now);
+    timers.run(now);
+  }
+  void offer(std::uint64_t n, bool safe, const std::string& method = "GET", Millis wait = 0, int rank = 1) {
+    in.offer(1, {{"t", "q"},
+                 {"n", n},
+                 {"i", in.database()->id.value},
+                 {"m", method},
+                 {"u", "/x"},
+                 {"h", Json::array({"Host", "h", kIdField, "q" + std::to_string(n)})},
+                 {"b", ""},
+                 {"d", 500},
+                 {"w", wait},
+                 {"a", 200},
+                 {"p", rank},
+                 {"s", safe}});
+  }
+  void answer(ConnId conn, const std::string& id, int status = 200, HttpFields more = {{kSealField, "s"}}) {
+    if (!id.empty()) more.emplace_back(kIdField, id);
+    in.server_reply(conn, {status, "of " + id, more}, 0);
+  }
+  std::string said(std::uint64_t n) { return replies.count(n) ? text(replies[n], "t") : ""; }
+  // A connection that has carried q1 and rests.
+  ConnId rested() {
+    offer(1, true);
+    in.server_up(opened.back());
+    answer(opened.back(), "q1");
+    step(5);
+    return opened.back();
+  }
+  bool ended(ConnId id) { return std::count(closed.begin(), closed.end(), id) > 0; }
+};
+
+TEST(Answers, WhatNobodyWaitsForIsNotWrittenAnyMore) {
+  Beside b;
+  b.offer(1, false);
+  b.in.cancel(1, 1);  // while its connection is opened
+  b.in.server_up(b.opened[0]);
+  EXPECT_TRUE(b.written.empty());
+  b.offer(2, false);
+  EXPECT_EQ(b.written.size(), 1u) << "the connection serves the next";
+  EXPECT_EQ(b.opened.size(), 1u);
+  b.offer(3, false);
+  b.in.server_up(b.opened[1]);
+  b.offer(4, false, "GET", 100);
+  b.offer(5, false, "GET", 100);
+  b.in.cancel(1, 4);  // out of the queue
+  b.in.link_gone(1);
+  b.answer(b.written[0].first, "q2");
+  b.answer(b.written[1].first, "q3");
+  EXPECT_EQ(b.written.size(), 2u) << "held for a link that has ended";
+  EXPECT_TRUE(b.replies.empty()) << "said to a caller who has gone";
+  EXPECT_EQ(b.in.busy(), 0u);
+}
+
+TEST(Answers, NothingOfAFormerLifeIsUsedForTheNext) {
+  Beside b;
+  const ConnId idle = b.rested();
+  b.offer(2, false);
+  ASSERT_EQ(b.written.back().first, idle);
+  b.offer(3, false);
+  const ConnId opening = b.opened.back();
+  b.offer(4, false, "GET", 100);
+  b.in.database(Beside::life("b"));
+  EXPECT_EQ(b.said(4), "no") << "it waited for the former one";
+  b.in.server_up(opening);
+  EXPECT_EQ(b.said(3), "no");
+  EXPECT_EQ(b.written.size(), 2u);
+  b.answer(idle, "q2");  // the former one's last word is its own
+  EXPECT_EQ(b.said(2), "a");
+  EXPECT_TRUE(b.ended(idle)) << "a connection to the former life is not kept";
+  // One that was reset with the former life is not sent to the next: that is a second database.
+  Beside c;
+  const ConnId old = c.rested();
+  c.offer(2, true);
+  ASSERT_EQ(c.written.back().first, old);
+  c.in.database(Beside::life("b"));
+  c.in.server_down(old, false);
+  EXPECT_EQ(c.said(2), "fail");
+  EXPECT_EQ(c.opened.size(), 1u);
+}
+
+TEST(Answers, AKeptConnectionThatEndsAsItIsUsedProvesNothing) {
+  Beside b;
+  const ConnId idle = b.rested();
+  b.offer(2, false);
+  ASSERT_EQ(b.written.back().first, idle);
+  b.in.server_down(idle, false);
+  EXPECT_EQ(b.said(2), "fail") << "may have run";
+  EXPECT_EQ(b.opened.size(), 1u) << "not once more";
+  // What may run twice goes once more to the same database, and its promise then is none.
+  for (int how = 0; how < 4; ++how) {
+    Beside c;
+    const ConnId old = c.rested();
+    c.offer(2, true);
+    c.in.server_down(old, false);
+    ASSERT_EQ(c.opened.size(), 2u);
+    if (how == 0) c.in.server_down(c.opened[1], true);
+    if (how == 1) c.step(600);
+    if (how > 1) c.in.server_up(c.opened[1]);
+    if (how == 2) c.answer(c.opened[1], "q2", 503, {{kNotRunField, "1"}});
+    if (how == 3) c.in.server_down(c.opened[1], false);
+    EXPECT_EQ(c.said(2), "fail") << how;
+    EXPECT_EQ(c.opened.size(), 2u) << "twice at most";
+  }
+}
+
+TEST(Answers, OfADatabaseAreTheirsWhoseIdTheyBear) {
+  Beside b;
+  const ConnId idle = b.rested();
+  b.offer(2, false);
+  b.answer(idle, "q1");  // one too many, late
+  EXPECT_EQ(b.said(2), "") << "its own is still due";
+  b.answer(idle, "q2");
+  EXPECT_EQ(text(b.replies[2], "b"), "of q2");
+  EXPECT_TRUE(b.ended(idle)) << "one that speaks out of turn is not kept";
+  struct Case {
+    std::string id;
+    int status;
+    HttpFields fields;
+    const char* said;
+    bool promise;
+  };
+  for (const Case& c : std::vector<Case>{{"", 200, {{kSealField, "s"}}, "fail", false},
+                                         {"", 503, {{kNotRunField, "1"}}, "a", true},
+                                         {"q2", 503, {{kNotRunField, "1"}}, "a", true},
+                                         {"q2", 503, {}, "a", false},
+                                         {"q2", 421, {}, "a", true},
+                                         {"q2", 200, {}, "fail", false},
+                                         {"q2", 200, {{kSealField, "s"}, {kNotRunField, "1"}}, "a", false},
+                                         {"q2", 0, {{kSealField, "s"}}, "fail", false},
+                                         {"q2", 999, {{kSealField, "s"}}, "fail", false},
+                                         {"q2", 500, {}, "a", false}}) {
+    SCOPED_TRACE(c.id + " " + std::to_string(c.status));
+    Beside x;
+    const ConnId conn = x.rested();
+    x.offer(2, false);
+    ASSERT_EQ(x.written.back().first, conn);
+    x.answer(conn, c.id, c.status, c.fields);
+    EXPECT_EQ(x.said(2), c.said);
+    EXPECT_EQ(flag(x.replies[2], "x"), c.promise);
+    EXPECT_EQ(x.ended(conn), c.id.empty() || std::string(c.said) == "fail");
+  }
+}
+
+TEST(Answers, AConnectionThatSpeaksUnaskedIsNotUsedAgain) {
+  Beside b;
+  const ConnId idle = b.rested();
+  b.in.server_bytes(idle);  // the first half of what may look like an answer
+  EXPECT_TRUE(b.ended(idle));
+  b.offer(2, false);
+  EXPECT_EQ(b.opened.size(), 2u);
+}
+
+// How long its answer is cannot be told from its bytes alone: it shares no connection.
+TEST(Answers, ARequestForAHeadOnlyHasAConnectionOfItsOwn) {
+  Beside b;
+  const ConnId idle = b.rested();
+  b.offer(2, true, "HEAD");
+  ASSERT_EQ(b.opened.size(), 2u);
+  b.in.server_up(b.opened[1]);
+  b.answer(b.opened[1], "q2");
+  EXPECT_TRUE(b.ended(b.opened[1]));
+  EXPECT_FALSE(b.ended(idle));
+}
+
+TEST(Answers, AnUnsentRequestThatMissesItsTimeIsKnownNotToHaveRun) {
+  Beside b;
+  b.offer(1, false);
+  b.step(500);  // its connection never came up
+  EXPECT_EQ(b.said(1), "no");
+  b.in.server_up(b.opened[0]);
+  EXPECT_TRUE(b.written.empty());
+  b.offer(2, false);
+  b.in.server_up(b.opened[1]);
+  b.step(500);
+  EXPECT_EQ(b.said(2), "fail");
+}
+
+TEST(Answers, TheMoreUrgentIsServedFirstWhereAimsAreAlike) {
+  Beside b;
+  b.in.database(Beside::life("a", 1));
+  b.offer(1, false);
+  b.in.server_up(b.opened[0]);
+  b.offer(2, false, "GET", 100, 3);
+  b.offer(3, false, "GET", 100, 0);
+  b.answer(b.opened[0], "q1");
+  ASSERT_EQ(b.written.size(), 2u);
+  EXPECT_EQ(*find_field(b.written[1].second.fields, kIdField), "q3");
+}
+
+// --- beats ------------------------------------------------------------------------
+
+TEST(Answers, TheEndOfADatabaseIsNotAcknowledgedByTheAnswerToItsBeat) {
+  Timers timers;
+  Beats beats(timers);
+  std::vector<std::pair<std::string, int>> done;
+  auto to = [&](const char* who) { return [&done, who](int status) { done.emplace_back(who, status); }; };
+  beats.ask(0, {"a"}, 0, to("beat"));
+  beats.ask(0, {"a"}, Beats::kEnd, to("end"));
+  beats.answered({"a"}, 0, 200);
+  beats.answered({"a"}, 0, 200);  // relayed again
+  EXPECT_EQ(done, (std::vector<std::pair<std::string, int>>{{"beat", 200}}));
+  beats.ask(500, {"a"}, Beats::kEnd, to("end again"));
+  timers.run(constants::kBeatAnswerMs);  // the first one's time is up, the second one's is not
+  EXPECT_EQ(done.back(), (std::pair<std::string, int>{"end", 503}));
+  beats.answered({"a"}, Beats::kEnd, 200);
+  EXPECT_EQ(done.back(), (std::pair<std::string, int>{"end again", 200}));
+}
+
 }  // namespace
 }  // namespace pebblespindle::test::mesh
