--- a/src/keel/constants.h
+++ b/src/keel/constants.h
@@ -171,6 +171,11 @@
 // --- lighter ----------------------------------------------------------------
 constexpr std::size_t kMaxFrameBytes = 16 << 20;  // bytes; a request or answer between two lighters, whole
 constexpr std::size_t kMaxCallBytes = 8 << 20;  // bytes; a body held whole: a few fit into a sidecar's memory
+constexpr std::size_t kMaxAnswerHeadBytes =
+    65536;                      // bytes; a database's answer has a few fields, never as many as this
+constexpr int kFrameDepth = 4;  // levels; a frame holds lists of fields and nothing deeper
+constexpr std::int64_t kMostWaitMs =
+    3'600'000;  // ms; no client waits an hour: what a peer's frame says beyond it is a fault
 constexpr double kBudgetShare =
     0.75;  // of the fleet's budget: the rest is for windows that slide unlike ours
 constexpr std::int64_t kBudgetSlotMs = 100;   // ms; a hundredth of a window: its edge is sharp enough
@@ -187,6 +192,7 @@
 constexpr std::size_t kLooked = 4;      // databases compared in a zone; more would send all to the same
 constexpr double kIllCost = 6.0;        // of the slots; what a database that always fails costs more
 constexpr std::int64_t kRankMs = 60;    // ms; a rank below another counts as an aim that ends this much later
+constexpr std::int64_t kRanks = 100;    // ranks; more than any configuration has
 constexpr double kWaitShare = 0.7;      // of the aim; a request that has not begun to run by then is refused
 constexpr std::int64_t kHedgeLeastMs = 40;  // ms; no second database is asked sooner
 constexpr double kHedgeSpread = 4.0;        // mean deviations over the mean answer before one is missed
