--- a/tools/worst_day.py
+++ b/tools/worst_day.py
@@ -146,6 +146,19 @@
         scene.lose_core(round(catch_up_s * 2 + draw.uniform(0.0, 2.0), 2), "node_kill")
 
 
+def loss_at_view(scene):
+    """A core goes dark, and another in the moments in which the rest agree to go on without the first (after a second or so)."""
+    draw = scene.draw
+    first = draw.choice(["node_kill", "core_cut", "node_kill"])
+    if first == "core_cut" and scene.may(first):
+        scene.add(0.0, first, count=1, for_s=5.0, how=draw.choice(["", "leader", "reset", "leader one_way"]))
+    else:
+        scene.lose_core(0.0, "node_kill", for_s=5.0, how=draw.choice(["power", "leader power", "seed power"]))
+    scene.lose_core(round(draw.uniform(0.85, 1.7), 2), "node_kill", for_s=4.0, how=draw.choice(["power", "leader power", ""]))
+    scene.change(round(draw.uniform(0.5, 2.0), 2))
+    scene.change(4.0)
+
+
 def leavers(scene):
     """Databases leave, and cores roll, while a core is down or cut off."""
     draw = scene.draw
@@ -221,6 +234,7 @@
     "losses": (second_loss, second_loss, leavers, herds),
     "changes": (storm,),
     "calls": (silences,),
+    "views": (loss_at_view,),
 }
 
 
