--- a/src/ledger/ledger.cc
+++ b/src/ledger/ledger.cc
@@ -51,6 +51,19 @@
   stored_ = std::max(stored_, row.number);
 }
 
+// The order by number points into the rows: a copy has its own.
+Ledger& Ledger::operator=(const Ledger& other) {
+  if (this == &other) return *this;
+  rows_ = other.rows_;
+  order_.clear();
+  for (auto& [key, row] : rows_) order_.insert({row.number, key});
+  stored_ = other.stored_;
+  changes_ = other.changes_;
+  lives_ = other.lives_;
+  trimmed_ = other.trimmed_;
+  return *this;
+}
+
 void Ledger::clear() {
   order_.clear();
   rows_.clear();
--- a/src/ledger/ledger.h
+++ b/src/ledger/ledger.h
@@ -22,8 +22,10 @@
 class Ledger {
  public:
   Ledger() = default;
-  Ledger(Ledger&&) = default;  // not copied: the order by number points into the rows
+  Ledger(Ledger&&) = default;
   Ledger& operator=(Ledger&&) = default;
+  Ledger(const Ledger& other) { *this = other; }
+  Ledger& operator=(const Ledger& other);
   const Row* find(const std::string& key) const;  // null when absent or gone
   const Row* find_any(const std::string& key) const;
   void put(const Row& row);
--- a/tests/pooler_answers_test.cc
+++ b/tests/pooler_answers_test.cc
@@ -1,4 +1,4 @@
-// Answers to their own callers, each suspicion by itself: the pool's connections, former borrowers, former
+// PoolerAnswers to their own callers, each suspicion by itself: the pool's connections, former borrowers, former
 // lives.
 #include "berth/news.h"
 #include "quay.h"
@@ -14,7 +14,7 @@
   }
 };
 
-struct Answers : testing::Test {
+struct PoolerAnswers : testing::Test {
   std::size_t count(const std::string& start) const {
     return std::size_t(
         std::count_if(q.written.begin(), q.written.end(), [&](auto& w) { return w.starts_with(start); }));
@@ -24,7 +24,7 @@
 
 const std::string kRest = "IDLE I 1.2";
 
-TEST_F(Answers, OneThatComesTwiceIsNotTakenForThatOfTheNextBorrower) {
+TEST_F(PoolerAnswers, OneThatComesTwiceIsNotTakenForThatOfTheNextBorrower) {
   q.connect(1), q.connect(2);
   q.say(1, "QUERY a1 FETCH k");
   q.say(2, "QUERY b1 STORE k v");  // waits for the one connection
@@ -34,7 +34,7 @@
   EXPECT_EQ(count("QUERY b1"), 1u) << "it was written, and what came of it is not known";
 }
 
-TEST_F(Answers, BytesBehindAnAnswerEndTheConnection) {
+TEST_F(PoolerAnswers, BytesBehindAnAnswerEndTheConnection) {
   for (std::string tail : {"DATAROW x", "COMPLETE 7.9", "STMTERR THROTTLED x", "IDLE I 1.1", "HUM", ""}) {
     for (bool later : {false, true}) {
       Narrow w;
@@ -54,7 +54,7 @@
 }
 
 // What is no whole answer to a statement is none: a write that may have run is in doubt.
-TEST_F(Answers, ThoseThatDoNotFitAreNotPassedOn) {
+TEST_F(PoolerAnswers, ThoseThatDoNotFitAreNotPassedOn) {
   const std::vector<std::vector<std::string>> unfit = {
       {kRest},
       {"COMPLETE -", kRest},
@@ -83,7 +83,7 @@
   }
 }
 
-TEST_F(Answers, AnEndlessOneIsCut) {
+TEST_F(PoolerAnswers, AnEndlessOneIsCut) {
   q.connect(1);
   q.news(1);
   q.say(1, "QUERY w STORE k v");
@@ -94,7 +94,7 @@
   EXPECT_TRUE(q.news(1).starts_with("STMTERR UNKNOWN"));
 }
 
-TEST_F(Answers, AGreetingThatIsNoneOpensNoConnection) {
+TEST_F(PoolerAnswers, AGreetingThatIsNoneOpensNoConnection) {
   q.by_hand = true;
   q.connect(1);
   q.say(1, "QUERY w STORE k v");
@@ -106,7 +106,7 @@
 
 // --- writes: once, unless it is known that nothing has run ---------------------------------
 
-TEST_F(Answers, AWriteWhoseConnectionEndsIsInDoubtAndAReadGoesOn) {
+TEST_F(PoolerAnswers, AWriteWhoseConnectionEndsIsInDoubtAndAReadGoesOn) {
   q.connect(1), q.connect(2, "bound");
   q.news(1), q.news(2);
   q.say(1, "QUERY w STORE k v");
@@ -124,7 +124,7 @@
   EXPECT_NE(q.news(2).find("COMPLETE 7.1"), std::string::npos);
 }
 
-TEST_F(Answers, AWriteNotYetWrittenGoesOverAnotherConnection) {
+TEST_F(PoolerAnswers, AWriteNotYetWrittenGoesOverAnotherConnection) {
   q.by_hand = true;
   q.connect(1);
   q.say(1, "QUERY c CONFIGURE v x");
@@ -139,7 +139,7 @@
   EXPECT_NE(q.told[1].find("COMPLETE 7.1"), std::string::npos);
 }
 
-TEST_F(Answers, ThatOfAWriteGivenUpReachesNobody) {
+TEST_F(PoolerAnswers, ThatOfAWriteGivenUpReachesNobody) {
   q.connect(1);
   q.news(1);
   q.say(1, "QUERY w STORE k v");
@@ -151,7 +151,7 @@
   EXPECT_EQ(q.news(1), "");
 }
 
-TEST_F(Answers, ACommitInDoubtIsNeverPromised) {
+TEST_F(PoolerAnswers, ACommitInDoubtIsNeverPromised) {
   q.connect(1);
   q.say(1, "QUERY b BEGIN");
   q.say(1, "QUERY w STORE k v");
@@ -166,7 +166,7 @@
 }
 
 // Errors inside a transaction end it, whatever the database makes of it: the client may begin anew at once.
-TEST_F(Answers, ATransactionDoesNotGoOnAfterAPromise) {
+TEST_F(PoolerAnswers, ATransactionDoesNotGoOnAfterAPromise) {
   q.connect(1);
   q.say(1, "QUERY b BEGIN");
   q.say(1, "QUERY w STORE k v");
@@ -181,7 +181,7 @@
   EXPECT_EQ(count("QUERY c"), 0u);
 }
 
-TEST_F(Answers, TheRightToAskIsLookedAtWhenAStatementIsWritten) {
+TEST_F(PoolerAnswers, TheRightToAskIsLookedAtWhenAStatementIsWritten) {
   Narrow w(10);
   w.connect(1), w.connect(2);
   w.say(1, "QUERY a FETCH k");
@@ -196,7 +196,7 @@
 
 // --- the pool's connections and their former borrowers ----------------------------------------
 
-TEST_F(Answers, AConnectionWhoseAnswerIsOnItsWayGoesToNobodyElse) {
+TEST_F(PoolerAnswers, AConnectionWhoseAnswerIsOnItsWayGoesToNobodyElse) {
   q.connect(1), q.connect(2);
   q.say(1, "QUERY a FETCH k");
   ConnId id = q.at("a");
@@ -212,7 +212,7 @@
   EXPECT_EQ(q.told[2].find("DATAROW x"), std::string::npos);
 }
 
-TEST_F(Answers, AConnectionWhoseAnswerNeverComesIsClosed) {
+TEST_F(PoolerAnswers, AConnectionWhoseAnswerNeverComesIsClosed) {
   q.connect(1);
   q.say(1, "QUERY a FETCH k");
   ConnId id = q.at("a");
@@ -221,7 +221,7 @@
   EXPECT_FALSE(q.lines[id].open);
 }
 
-TEST_F(Answers, ATransactionOfAClientThatVanishedIsRolledBackBeforeAnybodyElse) {
+TEST_F(PoolerAnswers, ATransactionOfAClientThatVanishedIsRolledBackBeforeAnybodyElse) {
   for (bool confirmed : {true, false}) {
     Narrow w;
     w.connect(1), w.connect(2);
@@ -244,7 +244,7 @@
   }
 }
 
-TEST_F(Answers, ValuesOfAFormerBorrowerAreGoneOrTheConnectionIs) {
+TEST_F(PoolerAnswers, ValuesOfAFormerBorrowerAreGoneOrTheConnectionIs) {
   for (std::string reset : {"done", "refused", "silent", "left"}) {
     Narrow w;
     w.connect(1), w.connect(2), w.connect(3);
@@ -276,7 +276,7 @@
 }
 
 // Whether a rollback takes back what was set inside is the database's affair: it is not relied upon.
-TEST_F(Answers, ValuesSetInATransactionThatIsRolledBackAreNotRelied) {
+TEST_F(PoolerAnswers, ValuesSetInATransactionThatIsRolledBackAreNotRelied) {
   q.connect(1);
   q.say(1, "QUERY b BEGIN");
   q.say(1, "QUERY f FETCH k");
@@ -295,7 +295,7 @@
   EXPECT_EQ(count("QUERY - CONFIGURE v x"), 2u);
 }
 
-TEST_F(Answers, ATransactionThatWasLostIsOverWithItsEnd) {
+TEST_F(PoolerAnswers, ATransactionThatWasLostIsOverWithItsEnd) {
   q.connect(1);
   q.say(1, "QUERY b BEGIN");
   q.say(1, "QUERY f FETCH k");
@@ -308,7 +308,7 @@
   EXPECT_TRUE(q.answer_to("g", {"COMPLETE 7.2", kRest})) << q.told[1];
 }
 
-TEST_F(Answers, ATransactionIsOpenedBeforeItsStatementIsWritten) {
+TEST_F(PoolerAnswers, ATransactionIsOpenedBeforeItsStatementIsWritten) {
   q.connect(1);
   q.by_hand = true;
   q.say(1, "QUERY b BEGIN");
@@ -320,7 +320,7 @@
 }
 
 // Rows before the statement was written are another's.
-TEST_F(Answers, RowsOfNobodyAreNotPutBeforeAnAnswer) {
+TEST_F(PoolerAnswers, RowsOfNobodyAreNotPutBeforeAnAnswer) {
   q.connect(1);
   q.news(1);
   q.by_hand = true;
@@ -335,7 +335,7 @@
   EXPECT_EQ(q.news(1), "DATAROW mine\r\nCOMPLETE 7.1\r\nIDLE I -\r\n");
 }
 
-TEST_F(Answers, ATenantsConnectionAndShapesServeNoOther) {
+TEST_F(PoolerAnswers, ATenantsConnectionAndShapesServeNoOther) {
   q.most = 2;
   q.config.insert(q.config.rfind('}'),
                   R"(,"Tenants":[{"Name":"ann","ApiKeys":["ka"]},{"Name":"bob","ApiKeys":["kb"]}])");
@@ -355,7 +355,7 @@
   EXPECT_EQ(count("QUERY - PREPARE p2 FETCH secret2"), 1u) << "a name that stands for another's shape";
 }
 
-TEST_F(Answers, APreparedNameNeverStandsForAnotherShape) {
+TEST_F(PoolerAnswers, APreparedNameNeverStandsForAnotherShape) {
   q.connect(1);
   std::map<std::string, std::string> shapes;
   for (std::size_t i = 0; i < constants::kMaxShapes + 300; ++i) {
@@ -375,7 +375,7 @@
 
 // --- clients ---------------------------------------------------------------------------
 
-TEST_F(Answers, ThoseOfAPipelineComeInItsOrder) {
+TEST_F(PoolerAnswers, ThoseOfAPipelineComeInItsOrder) {
   q.connect(1);
   q.news(1);
   q.say(1, "QUERY a FETCH k");
@@ -388,7 +388,7 @@
   EXPECT_EQ(q.news(1), "COMPLETE 7.2\r\nIDLE I -\r\n");
 }
 
-TEST_F(Answers, ASessionThatRestedForFourFifthsOfTheLimitIsServed) {
+TEST_F(PoolerAnswers, ASessionThatRestedForFourFifthsOfTheLimitIsServed) {
   q.connect(1);
   q.say(1, "QUERY a FETCH k");
   ASSERT_TRUE(q.answer_to("a", {"COMPLETE 7.1", kRest}));
@@ -403,7 +403,7 @@
   EXPECT_NE(q.news(1).find("COMPLETE 7.2"), std::string::npos);
 }
 
-TEST_F(Answers, WhatASessionKeepsAndSendsAheadIsBounded) {
+TEST_F(PoolerAnswers, WhatASessionKeepsAndSendsAheadIsBounded) {
   q.connect(1);
   q.news(1);
   const std::string half(constants::kMaxSessionBytes / 2, 'x');
@@ -422,7 +422,7 @@
 
 // --- former links and lives -------------------------------------------------------------
 
-TEST_F(Answers, GrantsOfAFormerLinkAreVoid) {
+TEST_F(PoolerAnswers, GrantsOfAFormerLinkAreVoid) {
   Quay w;
   berth::News news(w.engine);
   w.feed();
@@ -442,7 +442,7 @@
   EXPECT_EQ(w.at("a"), 0u) << "no lease lasts longer than any";
 }
 
-TEST_F(Answers, PositionsOfAFormerLinkAreVoid) {
+TEST_F(PoolerAnswers, PositionsOfAFormerLinkAreVoid) {
   for (bool former : {true, false}) {
     Quay w;
     berth::News news(w.engine);
