--- a/src/chain/agreement.cc
+++ b/src/chain/agreement.cc
@@ -97,7 +97,9 @@
     auto here = present_.find(host_of(name));
     if (here != present_.end() && here->second != name) continue;
     // It has been heard for a while, and holds the state as of this view: the chain does not wait for it.
-    if (now - p.since < kJoinStableMs || p.view != view_.number || p.learned != view_.number) continue;
+    // Where too few are left for a view there is nobody to take the state from, and nothing that would wait.
+    if (now - p.since < kJoinStableMs || p.view != view_.number) continue;
+    if (p.learned != view_.number && next.members.size() >= view_.majority()) continue;
     if (!view_.votes(name)) {
       if (wanted == 0) continue;
       --wanted;
