--- a/tests/catch_up_test.cc
+++ b/tests/catch_up_test.cc
@@ -209,6 +209,111 @@
   EXPECT_EQ(f.at("core0").ledger().find("a")->value, "3");
 }
 
+// A newcomer whose questions are answered by the test alone.
+struct Asked : Fleet {
+  Json question;
+  explicit Asked(std::uint32_t seed) : Fleet(seed) {
+    run(3000);
+    stop("core2", true);
+    run(100);
+    start("core2");
+    auto through = net.deliver;
+    net.deliver = [this, through](const std::string& to, const std::string& from, const Json& m) {
+      const std::string t = m.value("t", "");
+      if (t == "have" && from != "core0" && from != "core1") question = m;
+      if (to != "core2" || (t != "up" && t != "pc")) through(to, from, m);
+    };
+    run(300);
+  }
+  Node& newcomer() { return at("core2"); }
+  // A piece as the last question wants it; `left` is false for the one that makes the state whole, of `size`
+  // rows.
+  void piece(bool fresh, const std::string& key, bool left, std::size_t size = 0) {
+    Json m{{"t", "pc"},
+           {"n", question["n"]},
+           {"q", question["q"]},
+           {"st", {{"w", true}, {"e", !left}, {"c", key}, {"b", 5}, {"bk", ""}, {"k", 4}, {"kt", 1}}},
+           {"r", Json::array({Json::array({key, 4, "v"})})}};
+    if (fresh) m["new"] = true;
+    if (!left) m["e"] = Json::array({Json::array({1, 1})}), m["trimmed"] = 0, m["size"] = size;
+    newcomer().receive(net.now, "core1", Json::parse(m.dump()));  // as it comes over a link
+    run(20);
+  }
+};
+
+TEST(CatchUp, AStateBegunAnewHoldsNothingOfTheOneBefore) {
+  Asked f(42);
+  f.piece(true, "of another", true);
+  ASSERT_EQ(f.newcomer().taken(), 1u);
+  f.piece(true, "a", true);
+  ASSERT_EQ(f.newcomer().taken(), 1u);
+  f.piece(false, "b", false, 2);
+  EXPECT_EQ(f.newcomer().ledger().size(), 2u);
+  EXPECT_EQ(f.newcomer().ledger().find("of another"), nullptr);
+  EXPECT_EQ(f.cores["core2"]->disk.stored_rows.count("of another"), 0u) << "it comes back with a restart";
+  EXPECT_EQ(f.cores["core2"]->disk.stored_rows.size(), 2u);
+}
+
+TEST(CatchUp, AStateThatLacksRowsIsDropped) {
+  Asked f(39);
+  f.piece(true, "a", true);
+  ASSERT_EQ(f.newcomer().taken(), 1u);
+  f.piece(false, "b", false, 3);
+  EXPECT_EQ(f.newcomer().ledger().size(), 0u);
+  EXPECT_FALSE(f.newcomer().taking());
+  EXPECT_TRUE(f.cores["core2"]->disk.staged_rows.empty());
+}
+
+// What a core asks is answered from where it stands only if that place is in the history of who answers.
+TEST(CatchUp, AStageOfAnotherHistoryIsBegunAnew) {
+  Asked f(40);
+  f.piece_bytes = 10;
+  for (auto* h : {"core0", "core1"}) f.stop(h), f.start(h);
+  f.run(5000);
+  for (int i = 0; i < 5; ++i) ASSERT_EQ(f.submit("core0", "k" + std::to_string(i), "", "v"), 200);
+  Node& tail = f.at(f.at("core0").view().tail());
+  Json answer;
+  auto through = f.net.deliver;
+  f.net.deliver = [&](const std::string& to, const std::string& from, const Json& m) {
+    if (to == "elsewhere")
+      answer = m;
+    else
+      through(to, from, m);
+  };
+  auto ask = [&](std::uint64_t term) {
+    answer = Json();
+    Json stage{{"w", true}, {"e", false}, {"c", "k1"}, {"b", 99}, {"bk", ""}, {"k", 3}, {"kt", term}};
+    Json m{{"t", "have"}, {"n", tail.view().number}, {"q", 1}, {"s", 0}, {"c", 0}, {"k", 0}, {"kt", 0},
+           {"st", stage}};
+    tail.receive(f.net.now, "elsewhere", Json::parse(m.dump()));
+    f.run(500);
+    return answer.contains("new");
+  };
+  std::uint64_t term = tail.view().headed;
+  EXPECT_FALSE(ask(term)) << answer.dump();
+  EXPECT_EQ(answer["r"][0][0], "k2") << "it goes on where it stood";
+  EXPECT_TRUE(ask(term + 7)) << answer.dump();
+  EXPECT_EQ(answer["r"][0][0], "k0");
+}
+
+// An update says on what it follows. One that follows on another term's number is not taken.
+TEST(CatchUp, AnUpdateOnAnotherTermsNumberIsNotTaken) {
+  Fleet f(41);
+  f.run(3000);
+  ASSERT_EQ(f.submit("core0", "a", "", "1"), 200);
+  auto view = f.at("core0").view();
+  Node& next = f.at(view.members[1].name);
+  const std::uint64_t k = next.ledger().stored();
+  auto up = [&](std::uint64_t term) {
+    Json m{{"t", "up"},  {"n", view.number}, {"base", k},
+           {"bt", term}, {"k", k + 1},       {"r", Json::array({Json::array({"b", k + 1, "1"})})}};
+    next.receive(f.net.now, view.head(), Json::parse(m.dump()));
+    return next.ledger().stored();
+  };
+  EXPECT_EQ(up(view.headed + 1), k);
+  EXPECT_EQ(up(view.headed), k + 1);
+}
+
 // Hundreds of changes, and in between cores killed, emptied, cut off and all killed at once, never more at a
 // time than may be lost. Pieces are so small that every state goes in many; gone rows are trimmed at once, so
 // that whoever was away is behind the trim. Nothing acknowledged is lost or comes back, and in the end all
