--- a/tests/worst_days_test.cc
+++ b/tests/worst_days_test.cc
@@ -382,9 +382,7 @@
   each_seed(500, [](std::uint32_t seed) { loss_days(seed, seed % 3 ? 1 : 2); });
 }
 
-// A head that has given its vote away, and came back, is the head still: the next view is decided over it.
-TEST(WorstDays, AHeadWithoutAVoteDoesNotStopTheNextView) {
-  Days d(273, 4, 3, 1);
+void head_gives_its_vote_away(Days& d) {
   d.go(3000);
   Node& head = d.at("core0");
   ASSERT_TRUE(head.leads(d.now()));
@@ -393,6 +391,12 @@
        d.now() < end && head.view().votes("core0") && !testing::Test::HasFailure();)
     d.go(1);
   ASSERT_FALSE(head.view().votes("core0"));
+}
+
+// A head that has given its vote away, and came back, is the head still: the next view is decided over it.
+TEST(WorstDays, AHeadWithoutAVoteDoesNotStopTheNextView) {
+  Days d(273, 4, 3, 1);
+  ASSERT_NO_FATAL_FAILURE(head_gives_its_vote_away(d));
   d.go(300);
   d.stop("core0");
   d.go(100);
@@ -437,14 +441,8 @@
 // It waits until as many know that it votes no more as can take the next loss.
 TEST(WorstDays, WhoLeavesIsNotTheOnlyOneToKnowTheNewVoters) {
   Days d(13581, 4, 3, 1);
-  d.go(3000);
+  ASSERT_NO_FATAL_FAILURE(head_gives_its_vote_away(d));
   Node& head = d.at("core0");
-  ASSERT_TRUE(head.leads(d.now()));
-  head.part(d.now());
-  for (Millis end = d.now() + 2000;
-       d.now() < end && head.view().votes("core0") && !testing::Test::HasFailure();)
-    d.go(1);
-  ASSERT_FALSE(head.view().votes("core0"));
   EXPECT_FALSE(head.may_go(d.now()));
   d.go(500);
   EXPECT_TRUE(head.may_go(d.now()));
