--- a/review/standins/lab.cc
+++ b/review/standins/lab.cc
@@ -19,27 +19,34 @@
 }
 
 Json route(const std::string& name, const std::string& host, const std::string& type, int timeout_ms, int target_ms,
-           int stale_ms) {
+           int stale_ms, const std::string& service = "store") {
   Json r{{"Name", name},          {"Hostname", host},      {"PathPrefix", "/"}, {"RouteType", type},
-         {"TimeoutMs", timeout_ms}, {"TargetLatencyMs", target_ms}, {"Priority", 1}, {"TargetService", "store"},
+         {"TimeoutMs", timeout_ms}, {"TargetLatencyMs", target_ms}, {"Priority", 1}, {"TargetService", service},
          {"MaxAttempts", 2}};
   if (stale_ms > 0) r["stale_ms"] = stale_ms;
   return r;
 }
 
+Json service_item(const std::string& name, int max_connections) {
+  return {{"Name", name}, {"HealthCheckPath", "/health"}, {"MaxConnections", max_connections}, {"Protocol", "h1"},
+          {"TlsEnabled", false}, {"SyncReplicas", 1}};
+}
+
 Json configuration(int max_connections) {
   return {{"Revision", 1},
           {"Routes",
-           {route("r-orders", "orders", "primary", 800, 100, 0), route("r-views", "views", "bounded", 2000, 600, 1500)}},
+           {route("r-orders", "orders", "primary", 800, 100, 0), route("r-views", "views", "bounded", 2000, 600, 1500),
+            route("r-orders2", "orders2", "primary", 800, 100, 0, "store2"),
+            route("r-orders3", "orders3", "primary", 800, 100, 0, "store3")}},
           {"Services",
-           {{{"Name", "store"}, {"HealthCheckPath", "/health"}, {"MaxConnections", max_connections}, {"Protocol", "h1"},
-             {"TlsEnabled", false}, {"SyncReplicas", 1}}}},
+           {service_item("store", max_connections), service_item("store2", max_connections),
+            service_item("store3", max_connections)}},
           {"Limits", {{"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 262144}, {"HeaderTimeoutMs", 3000},
                       {"IdleTimeoutMs", 15000}, {"TransactionIdleMs", 3000}}}};
 }
 
-bool wait_for_write(Deployment& d) {
-  Session s(d.frontend(), "orders", "u0");
+bool wait_for_write(Deployment& d, const std::string& host = "orders") {
+  Session s(d.frontend(), host, "u0");
   for (Ms until = now_ms() + 15000; now_ms() < until; sleep_ms(100)) {
     if (!s.connected() && !s.open()) continue;
     if (auto r = s.ask(draw_query_id(), "STORE probe x"); r.answered && r.error.empty()) return true;
@@ -50,10 +57,10 @@
 // Clients that write, one statement after the other, each with a rest; what was acknowledged is kept.
 class Writers {
  public:
-  Writers(Deployment& d, int count, Ms rest_ms) {
+  Writers(Deployment& d, int count, Ms rest_ms, const std::string& host = "orders") {
     for (int i = 0; i < count; ++i)
-      threads_.emplace_back([this, &d, i, rest_ms] {
-        Session s(d.frontend(), "orders", "u" + std::to_string(i + 1));
+      threads_.emplace_back([this, &d, i, rest_ms, host] {
+        Session s(d.frontend(), host, "u" + std::to_string(i + 1));
         for (int n = 0; !stop_; ++n) {
           if (!s.connected() && !s.open()) {
             sleep_ms(50);
@@ -338,6 +345,72 @@
   return broken > 0 ? 1 : 0;
 }
 
+// Case: the primary crashes for two seconds, and the platform is slow: it carries out and answers a call after
+// three. Clients write as fast as one database takes it. The same at each of the three services, one after the other.
+int late_promote(const std::string& binary) {
+  static std::atomic<bool> slow{false};
+  Deployment& d = *new Deployment(binary);  // its threads run to the end
+  running = &d;
+  std::vector<Service*> services;
+  for (const char* name : {"store", "store2", "store3"}) services.push_back(new Service(d, name, 1000, 4, 56));
+  new Platform(d, services, [] { return Ms(slow ? 3000 : 100); });
+  d.start();
+  sleep_ms(1500);
+  if (d.put_configuration(configuration(56), 0) != 200) return cannot_run("no configuration was acknowledged");
+  const char* const names[3][3] = {{"i-7f3a91c2", "i-8c21d004", "i-91b7e6aa"},
+                                   {"i-2b64d0f1", "i-5e90c7a3", "i-c3815d2e"},
+                                   {"i-44a7be19", "i-d20f6c85", "i-e97b3a60"}};
+  std::vector<DatabasePtr> primaries;
+  for (int n = 0; n < 3; ++n)
+    for (int i = 0; i < 3; ++i) {
+      auto db = services[std::size_t(n)]->start(names[n][i], 3 * n + i, kZones[std::size_t(n + i) % 3], i == 0);
+      if (i == 0) primaries.push_back(db);
+    }
+  if (!d.wait_ready()) return cannot_run("the node is never ready");
+  const char* const hosts[3] = {"orders", "orders2", "orders3"};
+  for (auto* host : hosts)
+    if (!wait_for_write(d, host)) return cannot_run("no write succeeds");
+  sleep_ms(4000);  // in touch
+  slow = with_trouble();
+  int all_lost = 0;
+  std::size_t all_acknowledged = 0;
+  for (std::size_t n = 0; n < 3; ++n) {
+    Service& service = *services[n];
+    Writers writers(d, 24, 0, hosts[n]);
+    sleep_ms(1000);
+    const Ms crashed = now_ms();
+    if (with_trouble()) service.crash(primaries[n], 2000);
+    sleep_until_ms(crashed + 6000);
+    const auto acknowledged = writers.end();
+    all_acknowledged += acknowledged.size();
+    int served = 0, refused = 0;  // whether the service takes writes at all, five more seconds on
+    Session s(d.frontend(), hosts[n], "u9");
+    for (const Ms until = now_ms() + 5000; now_ms() < until; sleep_ms(100)) {
+      if (!s.connected() && !s.open()) continue;
+      auto r = s.ask(draw_query_id(), "STORE late x", 2000);
+      ++(r.answered && r.error.empty() ? served : refused);
+    }
+    std::lock_guard lock(service.mutex);
+    std::set<std::string> kept;  // in the log of who leads now
+    if (auto lead = service.leader())
+      for (auto& entry : lead->log) kept.insert(entry->query);
+    int lost = 0;
+    for (auto& write : acknowledged) {
+      if (kept.count(write.query)) continue;
+      ++lost;
+      record.say("LOST: write %s, numbered at %.4f, acknowledged at %.3f, is not in the log of the promoted database",
+                 write.query.c_str(), double(service.committed_us[write.query]) / 1e6, double(write.at) / 1e3);
+    }
+    all_lost += lost;
+    record.say("RESULT: %s: %zu writes acknowledged, %zu promotions, %d acknowledged writes are lost; in the 5 s after "
+               "that, with all databases up, %d writes succeeded and %d did not",
+               service.name.c_str(), acknowledged.size(), service.promotions.size(), lost, served, refused);
+  }
+  record.say("RESULT: %zu writes acknowledged, %d of them lost: the rule %s", all_acknowledged, all_lost,
+             all_lost > 0 ? "is BROKEN" : "held");
+  return all_lost > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -355,7 +428,8 @@
   const std::map<std::string, int (*)(const std::string&)> cases{{"leaving-forgotten", leaving_forgotten},
                                                                  {"leaving-ended", leaving_ended},
                                                                  {"draining-restart", draining_restart},
-                                                                 {"term-transactions", term_transactions}};
+                                                                 {"term-transactions", term_transactions},
+                                                                 {"late-promote", late_promote}};
   auto chosen = cases.find(which);
   const int code = chosen == cases.end() ? 2 : chosen->second(argv[3]);
   record.say("exit code %d", code);
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -424,6 +424,7 @@
   const Database* following = nullptr;
   std::uint64_t following_term = 0;
   Ms demote_at_us = -1;
+  Ms leads_since_us = 0;
   int busy = 0;
   std::set<int> connections;
   int listener = -1;
@@ -546,6 +547,7 @@
       db->primary = true;
       db->paused = false;
       db->held = 0;
+      db->leads_since_us = now_us();
       promotions.push_back({now_ms(), db->id, db->place(), db->log});
       record.say("PROMOTED database=%s term=%d log=%s", db->id.c_str(), int(db->term), db->place().text().c_str());
       for (auto& each : databases)
@@ -563,6 +565,7 @@
   };
   std::vector<Promotion> promotions;
   std::map<std::string, Ms> draining_acknowledged_ms;
+  std::map<std::string, Ms> committed_us;  // by query, when it got its number
 
   std::string place_of(const Database& db) {
     std::lock_guard lock(mutex);
@@ -616,7 +619,13 @@
       if (!lead) continue;
       for (auto& db : databases) {
         if (!db->alive || db->primary || db->paused || db->deaf) continue;
-        if (db->following != lead.get() || db->following_term != lead->term) {
+        const bool other = db->following != lead.get() || db->following_term != lead->term;
+        const Database* source = lead.get();
+        if (other && db->following && now < lead->leads_since_us + db->net_us) {
+          // It has not heard of the new primary yet, and follows the former one where that still leads.
+          source = db->following;
+          if (!source->alive || !source->primary || source->term != db->following_term) continue;
+        } else if (other) {
           std::size_t same = 0;
           while (same < db->log.size() && same < lead->log.size() && db->log[same] == lead->log[same]) ++same;
           if (same < db->log.size())
@@ -627,8 +636,8 @@
           db->following_term = db->term = lead->term;
           db->due_us = -1;
         }
-        while (db->log.size() < lead->log.size()) {
-          auto& entry = lead->log[db->log.size()];
+        while (db->log.size() < source->log.size()) {
+          auto& entry = source->log[db->log.size()];
           if (db->due_us < 0) db->due_us = std::max(entry->at_us + db->net_us + Ms(-300.0 * std::log(uniform())), now);
           if (db->due_us > now) break;
           db->log.push_back(entry);
@@ -865,6 +874,7 @@
     entry->query = query;
     entry->at_us = now_us();
     db->log.push_back(entry);
+    committed_us[query] = entry->at_us;
     const std::size_t index = db->log.size() - 1;
     for (auto& [thing, value] : entry->writes) db->data[thing] = value;
     const Database* by = nullptr;
