--- a/review/standins/lab.cc
+++ b/review/standins/lab.cc
@@ -197,6 +197,38 @@
   return judge_promotions(service, writers.end());
 }
 
+// Case: a replica leaves with DELETE first and serves on. The process of the controller that holds the duty is killed
+// and starts again with its disk. Eight seconds after the DELETE, while the replica still runs, the others have received
+// nothing for a while and the primary crashes. Without the trouble all of it happens but the kill of the controller.
+int leaving_restarted(const std::string& binary) {
+  Store& store = *new Store(binary, 56, 4, [] { return Ms(100); });  // its threads run to the end
+  if (auto why = store.start(56); !why.empty()) return cannot_run(why);
+  Service& service = store.service;
+  Deployment& d = store.deployment;
+  Writers writers(d, 6, 60);
+  const Ms begin = now_ms();
+  auto next = service.start("i-a3340f5b", 3, kZones[2], false);
+  sleep_until_ms(begin + 1500);
+  service.leave_at_once(store.second, 3000);  // ends at 11.5 s
+  sleep_until_ms(begin + 2500);
+  if (with_trouble()) {
+    d.processes.kill_and_wait(d.controller_pids[0]);  // the first of the chain
+    record.say("controller %s killed", d.controllers[0].host.c_str());
+    sleep_ms(500);
+    d.start_controller(0);
+    record.say("it is started again, with its disk");
+  }
+  sleep_until_ms(begin + 5500);
+  service.set_deaf({store.first, next}, true);
+  sleep_until_ms(begin + 9500);
+  service.crash(store.primary, 7000);
+  sleep_until_ms(begin + 12000);
+  service.set_deaf({store.first, next}, false);
+  sleep_until_ms(begin + 24000);
+  const int code = judge_promotions(service, writers.end());
+  return service.promotions.empty() ? cannot_run("no database was promoted") : code;
+}
+
 // Case: a database is leaving; the processes of the edge machine are killed three seconds after that was
 // acknowledged, and start again. Clients read as many at once as on a busy moment.
 int draining_restart(const std::string& binary) {
@@ -429,7 +461,8 @@
                                                                  {"leaving-ended", leaving_ended},
                                                                  {"draining-restart", draining_restart},
                                                                  {"term-transactions", term_transactions},
-                                                                 {"late-promote", late_promote}};
+                                                                 {"late-promote", late_promote},
+                                                                 {"leaving-restarted", leaving_restarted}};
   auto chosen = cases.find(which);
   const int code = chosen == cases.end() ? 2 : chosen->second(argv[3]);
   record.say("exit code %d", code);
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -303,9 +303,17 @@
       s["QuorumMember"] = true;
       s["DataDirectory"] = disk;
       s["Limits"] = {{"CpuFraction", 0.6}, {"CpuCores", 1}, {"MemoryMb", 256}, {"MaxOpenFiles", 4096}, {"DiskMb", 128}};
-      const std::string path = folder + "/core-" + std::to_string(i) + ".json";
-      std::ofstream(path) << s.dump(1);
-      controller_pids.push_back(processes.start(binary_, "controller", path, path + ".log"));
+      std::ofstream(controller_settings(i)) << s.dump(1);
+    }
+    controller_pids.resize(3);
+    for (int i = 0; i < 3; ++i) start_controller(i);
+    // Bootstrap is true only at the very first start: the files of later starts say false.
+    sleep_ms(1000);
+    for (int i = 0; i < 3; ++i) {
+      Json s;
+      std::ifstream(controller_settings(i)) >> s;
+      s["Bootstrap"] = false;
+      std::ofstream(controller_settings(i)) << s.dump(1);
     }
     Json s = common(net + ".10", kZones[0]);
     s["NodeName"] = "edge-" + kZones[0] + "-1";
@@ -320,6 +328,11 @@
     std::ofstream(node_settings) << s.dump(1);
     start_node();
   }
+  std::string controller_settings(int i) const { return folder + "/core-" + std::to_string(i) + ".json"; }
+  void start_controller(int i) {
+    controller_pids[std::size_t(i)] =
+        processes.start(binary_, "controller", controller_settings(i), controller_settings(i) + ".log");
+  }
   void start_node() {
     agent_pid = processes.start(binary_, "agent", node_settings, folder + "/agent.log");
     pooler_pid = processes.start(binary_, "pooler", node_settings, folder + "/pooler.log");
