--- a/src/net/constants.h
+++ b/src/net/constants.h
@@ -24,6 +24,8 @@
 constexpr std::size_t kBacklogLines = 64;
 // ms; pause between tries to reach a core or agent
 constexpr Millis kReconnectMs = 100;
+// ms; how long a connection that ends waits for its peer to end too
+constexpr Millis kLingerMs = 500;
 // ms; a new connection answers within tens of ms when healthy
 constexpr Millis kServerConnectMs = 1000;
 // ms; a controller that just starts drops the opening packet: connect anew, don't wait for seconds
--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -72,6 +72,7 @@
   if (ec == asio::error::would_block || ec == asio::error::try_again) return wait_read();
   if (ec) return end(ec == asio::error::eof ? End::kClosed : End::kReset);
   auto self = shared_from_this();
+  if (lingering_) return wait_read();
   std::string_view data(chunk, n);
   std::string joined;  // the handlers may read on other connections, so the chunk is not used past them
   joined.reserve(in_.size() + n);
@@ -97,6 +98,7 @@
     return open_;
   }
   for (;;) {
+    if (lingering_) return from = joined.size(), true;
     std::string_view item;
     if (kind_ == Kind::kFrames) {
       if (joined.size() - from < 4) return true;
@@ -140,7 +142,7 @@
 void LineConnection::flush() {
   if (!open_ || writing_) return;
   if (out_.empty()) {
-    if (closing_) close();
+    if (closing_) finish_sending();
     return;
   }
   asio::error_code ec;
@@ -166,10 +168,27 @@
 
 void LineConnection::drained() {
   auto self = shared_from_this();
-  if (closing_) close();
+  if (closing_) finish_sending();
   if (h_.on_drained) h_.on_drained();
 }
 
+void LineConnection::finish_sending() {
+  if (!lingering_) return close();
+  if (std::exchange(half_closed_, true)) return;
+  asio::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  discard_rest();
+}
+
+void LineConnection::discard_rest() {
+  linger_timer_.emplace(socket_.get_executor(), std::chrono::milliseconds(kLingerMs));
+  linger_timer_->async_wait([self = shared_from_this()](const asio::error_code& ec) {
+    if (!ec) self->end(End::kClosed);
+  });
+  pause(false);
+  wait_read();
+}
+
 void LineConnection::end(End why) {
   if (!open_) return;
   auto on_end = std::move(h_.on_end);
@@ -182,6 +201,7 @@
   open_ = false;
   asio::error_code ignored;
   socket_.close(ignored);
+  linger_timer_.reset();
   // Handlers may hold what holds this connection; let go of them, but not under a running one.
   asio::post(socket_.get_executor(), [self = shared_from_this()] { self->h_ = {}; });
 }
@@ -192,6 +212,11 @@
   if (!writing_ && !flush_posted_) flush();
 }
 
+void LineConnection::close_lingering() {
+  lingering_ = true;
+  close_after_flush();
+}
+
 void LineConnection::pause(bool paused) {
   if (paused_ == paused) return;
   paused_ = paused;
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -4,6 +4,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "settings/settings.h"
@@ -31,6 +32,10 @@
   void send_frame(std::string_view frame);
   void close();              // at once; no more callbacks
   void close_after_flush();  // what was sent is written first
+  // The same for a peer that may still be sending: this side ends once all is written, and what comes is
+  // discarded until the peer ends too, for kLingerMs at most; then on_end is called. A close with unread
+  // bytes would reset the connection, and answers still on their way could be lost with it.
+  void close_lingering();
   bool open() const { return open_; }
   std::size_t queued() const { return out_.size() + flight_.size(); }
   void pause(bool paused);  // stops reading while paused
@@ -43,6 +48,8 @@
   bool hand_on(std::string_view joined, std::size_t& from);
   void flush();
   void drained();
+  void finish_sending();
+  void discard_rest();
   void end(End why);
   asio::ip::tcp::socket socket_;
   std::size_t max_line_;
@@ -51,6 +58,8 @@
   std::string in_, out_, flight_;
   bool open_ = true, started_ = false, reading_ = false, writing_ = false, flush_posted_ = false;
   bool paused_ = false, closing_ = false;
+  bool lingering_ = false, half_closed_ = false;
+  std::optional<asio::steady_timer> linger_timer_;
 };
 
 // Accepts connections for as long as it lives.
--- a/src/pooler/constants.h
+++ b/src/pooler/constants.h
@@ -52,6 +52,8 @@
 constexpr int kReservedConnections = 4;
 // Sessions a pooler accepts; below its descriptor limit
 constexpr int kMaxSessions = 3500;
+// ms; a client that a node refuses as it ends need not wait: other nodes serve it
+constexpr Millis kEndingRetryMs = 1;
 // Values or prepared names one session may hold
 constexpr std::size_t kMaxSessionValues = 256;
 // ms or rights; beyond what any clock or sum of a core comes to
--- a/src/pooler/engine.cc
+++ b/src/pooler/engine.cc
@@ -55,7 +55,7 @@
     });
     return;
   }
-  s->lines.emplace_back(line);
+  s->lines.push_back({std::string(line), !taking_});
   s->ahead += line.size();
   pump(*s);
 }
@@ -151,17 +151,21 @@
   for (;;) {
     Session* s = find(id);
     if (!s || s->busy || s->closing || s->lines.empty()) {
-      if (s && !s->busy && s->lines.empty() && closing_idle_ && s->state == 'I') drop(id);
+      if (s && !s->busy && s->lines.empty() && ends_when_answered(*s)) drop(id);
       return;
     }
-    std::string line = std::move(s->lines.front());
+    QueuedLine line = std::move(s->lines.front());
     s->lines.pop_front();
-    s->ahead -= line.size();
-    handle(*s, line);
+    s->ahead -= line.text.size();
+    handle(*s, line.text, line.late);
   }
 }
 
-void Engine::handle(Session& s, std::string_view line) {
+bool Engine::ends_when_answered(const Session& s) const {
+  return !taking_ || (closing_idle_ && s.state == 'I');
+}
+
+void Engine::handle(Session& s, std::string_view line, bool late) {
   auto word = sql_protocol::take(line);
   if (word == "CLOSE") return drop(s.id);
   if (word != "QUERY") return fail(s, "MALFORMED", "not a message of a session");
@@ -179,6 +183,7 @@
     }
     return fail(s, "MALFORMED", "the transaction has failed; end it first");
   }
+  if (late && st.verb != Verb::kRollback) return refuse_late(s, st.verb);
   switch (st.verb) {
     case Verb::kBegin: {
       if (s.state == 'T') return fail(s, "MALFORMED", "a transaction is open");
@@ -206,6 +211,14 @@
   }
 }
 
+// A statement that came too late to be run here. Nothing of it, nor of its transaction, is kept.
+void Engine::refuse_late(Session& s, Verb verb) {
+  if (s.state != 'T')
+    return fail(s, "THROTTLED", "retry-after-ms=" + std::to_string(kEndingRetryMs) + " this node is ending");
+  end_transaction(s, verb == Verb::kCommit ? 'I' : 'E');
+  answer(s, sql_protocol::error("ABORTED", "this node is ending; nothing of the transaction is kept"));
+}
+
 void Engine::local_statement(Session& s, const sql_protocol::Statement& st) {
   std::string name(st.name);
   bool room = s.values.size() + s.prepared.size() < kMaxSessionValues;
@@ -384,11 +397,38 @@
   for (auto id : idle) drop(id);
 }
 
-void Engine::abort_open() {
-  std::vector<SessionId> open;
-  for (auto& [id, s] : sessions_)
-    if (!s.busy) open.push_back(id);
-  for (auto id : open) drop(id);
+Engine::Activity Engine::activity(Millis since) const {
+  Activity activity;
+  activity.sessions = sessions_.size();
+  for (auto& [id, session] : sessions_) {
+    if (session.state == 'T') ++activity.in_transaction;
+    if (!session.work.active) continue;
+    ++(session.work.sent ? activity.at_database : activity.waiting);
+    if (session.work.began > since) ++activity.begun_since;
+  }
+  return activity;
+}
+
+void Engine::stop_taking() {
+  taking_ = false;
+  std::vector<SessionId> idle;
+  for (auto& [id, session] : sessions_)
+    if (!session.busy) idle.push_back(id);
+  for (auto id : idle) drop(id);
+}
+
+void Engine::give_up() {
+  taking_ = false;
+  std::vector<SessionId> all;
+  for (auto& [id, session] : sessions_) {
+    for (auto& line : session.lines) line.late = true;
+    all.push_back(id);
+  }
+  for (auto id : all) {
+    Session* session = find(id);
+    if (session && session->work.active) break_off(*session, "this node is ending");
+    drop(id);
+  }
 }
 
 }  // namespace pebblespindle::pooler
--- a/src/pooler/engine.h
+++ b/src/pooler/engine.h
@@ -96,11 +96,25 @@
 
   bool ready() const;
   std::uint64_t acknowledged() const;  // the change whose effect is complete here
+  // The steps towards the end of the process, in this order.
   bool leaving() const { return leaving_; }
   void leave();       // unready; serves on for a while
   void close_idle();  // sessions that rest end now, the others when they are done
-  void abort_open();  // open transactions end now
+  // What has been read so far is still run and answered; what comes later is refused and never reaches a
+  // database. Each session ends with its last answer, in a transaction or not.
+  void stop_taking();
+  // Whatever is still at work is answered with what is known of it, and all sessions end.
+  void give_up();
   std::size_t sessions() const { return sessions_.size(); }
+  // What the sessions are doing, for the log of a process that ends.
+  struct Activity {
+    std::size_t sessions = 0;
+    std::size_t in_transaction = 0;
+    std::size_t at_database = 0;  // with a statement that a database has
+    std::size_t waiting = 0;      // with a statement that no database has yet
+    std::size_t begun_since = 0;  // of those two: begun after a given moment
+  };
+  Activity activity(Millis since) const;
   const ClusterState& cluster() const { return cluster_; }
 
  private:
@@ -131,6 +145,10 @@
     std::string unpaid;           // waits for rights of this tenant
     bool position_asked = false;  // has waited for one
   };
+  struct QueuedLine {
+    std::string text;
+    bool late = false;  // read after this node stopped taking statements
+  };
   struct Session {
     SessionId id = 0;
     std::string host, key;
@@ -142,7 +160,7 @@
     std::map<std::string, Prepared> prepared;
     LVector vector;
     std::string vector_service;
-    std::deque<std::string> lines;
+    std::deque<QueuedLine> lines;
     std::size_t ahead = 0;               // bytes of them
     std::size_t kept = 0;                // bytes of its values and prepared names
     std::shared_ptr<const Route> route;  // of the operation under way
@@ -212,7 +230,9 @@
   void greet(SessionId id);
   void close_resting();
   void pump(Session& s);
-  void handle(Session& s, std::string_view line);
+  void handle(Session& s, std::string_view line, bool late);
+  void refuse_late(Session& s, sql_protocol::Verb verb);
+  bool ends_when_answered(const Session& s) const;
   void answer(Session& s, std::string body);  // body, then IDLE in the session's state
   void fail(Session& s, std::string_view code, std::string_view text);
   void fail_unrouted(Session& s);
@@ -274,6 +294,7 @@
   void met(const InstanceId& id, bool good, Millis took);
   void on_patience(SessionId id);
   void on_deadline(SessionId id);
+  void break_off(Session& s, std::string_view why_not_sent);
   bool may_retry(const Session& s) const;
   Session* find(SessionId id);
   Server* server(ConnId id);
@@ -288,7 +309,7 @@
   Millis lease_until_ = 0;
   std::uint64_t lease_number_ = 0;
   std::size_t members_ = 1;
-  bool sent_away_ = false, leaving_ = false, closing_idle_ = false;
+  bool sent_away_ = false, leaving_ = false, closing_idle_ = false, taking_ = true;
   std::unordered_map<SessionId, Session> sessions_;
   std::unordered_map<ConnId, Server> servers_;
   std::map<InstanceId, Pool> pools_;
--- a/src/pooler/engine_statements.cc
+++ b/src/pooler/engine_statements.cc
@@ -445,20 +445,25 @@
 void Engine::on_deadline(SessionId id) {
   Session* s = find(id);
   if (!s || !s->work.active) return;
-  bool sent = s->work.sent && s->conn;
-  ConnId conn = s->conn;
-  s->conn = 0;
-  if (Server* c = server(conn)) {
-    if (sent) met(c->instance, false, now_ - s->work.sent_at);
-    if (Pool& p = pools_[c->instance]; p.last_answer < s->work.sent_at) {
-      p.suspected = true;
-      port_.suspect(c->instance, Port::Trouble::kSilent);
-    }
-    drop_server(conn, false);
+  Server* c = server(s->conn);
+  if (c && s->work.sent) met(c->instance, false, now_ - s->work.sent_at);
+  if (c && pools_[c->instance].last_answer < s->work.sent_at) {
+    pools_[c->instance].suspected = true;
+    port_.suspect(c->instance, Port::Trouble::kSilent);
   }
-  if (!sent) return refuse(*s, "THROTTLED", "no database could run it in time");
-  s->work.attempts = kTimeIsOver;
-  work_lost(*s, true);
+  break_off(*s, "no database could run it in time");
+}
+
+// Ends the statement under way, wherever it is, and tells the client what is known of it.
+void Engine::break_off(Session& s, std::string_view why_not_sent) {
+  const SessionId id = s.id;
+  const bool sent = s.work.sent && s.conn;
+  drop_server(std::exchange(s.conn, 0), false);
+  Session* session = find(id);  // closing a connection may give others their turn
+  if (!session || !session->work.active) return;
+  if (!sent) return refuse(*session, "THROTTLED", std::string(why_not_sent));
+  session->work.attempts = kTimeIsOver;
+  work_lost(*session, true);
 }
 
 }  // namespace pebblespindle::pooler
--- a/src/pooler/pooler.cc
+++ b/src/pooler/pooler.cc
@@ -15,7 +15,7 @@
 #include "pooler/control_feed.h"
 #include "pooler/engine.h"
 #include "proxy/agent_link.h"
-#include "proxy/constants.h"
+#include "proxy/exit_schedule.h"
 #include "replication/timing.h"
 #include "settings/run_role.h"
 
@@ -82,7 +82,12 @@
   void end_client(SessionId id) override {
     auto it = clients_.find(id);
     if (it == clients_.end()) return;
-    it->second->close_after_flush();
+    if (engine_.leaving()) {  // its client may be about to send
+      it->second->close_lingering();
+      ending_.push_back(it->second);
+    } else {
+      it->second->close_after_flush();
+    }
     clients_.erase(it);
   }
   void open_server(ConnId id, const Endpoint& at) override {
@@ -259,40 +264,52 @@
     renew();
   }
 
-  // Unready at once; serves until the platform has surely noticed; then ends what rests, and at half
-  // of the grace period what is still open.
+  // Unready at once; serves until the platform has surely noticed, then ends what rests. From half of the
+  // grace period on nothing new is run; what is at work is answered, in the last resort with what is known of
+  // it.
   void leave() {
     touch();
     if (engine_.leaving()) return;
     log_.say("Asked to end: unready from now on.");
     engine_.leave();
-    Millis half = settings_.grace_ms / 2, notice = std::min(kUnreadinessNoticeMs, half * 3 / 4);
-    auto& timers = loop_.timers();
-    timers.at(loop_.now() + notice, [this] {
-      touch();
+    const ExitSchedule schedule = ExitSchedule::of(settings_.grace_ms);
+    const Millis now = loop_.now();
+    stop_taking_at_ = now + schedule.stop_taking_after;
+    exit_step(now + schedule.close_idle_after, "close idle", [this] {
       engine_.close_idle();
       front_->close();
       end_if_empty();
     });
-    timers.at(loop_.now() + half, [this] {
+    exit_step(stop_taking_at_, "stop taking", [this] { engine_.stop_taking(); });
+    exit_step(now + schedule.give_up_after, "give up", [this] { engine_.give_up(); });
+    exit_step(now + schedule.end_after, "end", [this] { loop_.stop(); });
+    loop_.rearm();
+  }
+
+  void exit_step(Millis at, const char* name, std::function<void()> step) {
+    loop_.timers().at(at, [this, name, step = std::move(step)] {
       touch();
-      engine_.abort_open();
-      end_if_empty();
+      log_exit_step(name);
+      step();
     });
-    timers.at(loop_.now() + settings_.grace_ms - kReconnectMs * 2, [this] { loop_.stop(); });
-    loop_.rearm();
   }
 
+  void log_exit_step(const char* step) {
+    const auto activity = engine_.activity(stop_taking_at_);
+    log_.say("ending: step=" + std::string(step) + " sessions=" + std::to_string(activity.sessions) +
+             " in_transaction=" + std::to_string(activity.in_transaction) + " at_database=" +
+             std::to_string(activity.at_database) + " waiting=" + std::to_string(activity.waiting) +
+             " begun_after_half=" + std::to_string(activity.begun_since));
+  }
+
+  // Once no session is left, and the last answers have reached their clients.
   void end_if_empty() {
-    if (engine_.sessions() == 0) {
-      // One more turn of the loop lets the last answers out.
-      loop_.timers().at(loop_.now() + kReconnectMs / 5, [this] {
-        log_.say("All sessions have ended.");
-        loop_.stop();
-      });
-    } else {
-      loop_.timers().at(loop_.now() + kReconnectMs / 2, [this] { end_if_empty(); });
+    std::erase_if(ending_, [](const LineConnection::Ptr& connection) { return !connection->open(); });
+    if (engine_.sessions() == 0 && ending_.empty()) {
+      log_.say("All sessions have ended.");
+      return loop_.stop();
     }
+    loop_.timers().at(loop_.now() + kExitPollMs, [this] { end_if_empty(); });
     loop_.rearm();
   }
 
@@ -304,6 +321,7 @@
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<Acceptor> front_;
   std::unordered_map<SessionId, LineConnection::Ptr> clients_;
+  std::vector<LineConnection::Ptr> ending_;  // of sessions that this side has ended, while it leaves
   std::unordered_map<ConnId, LineConnection::Ptr> servers_;
   std::set<ConnId> opening_, abandoned_;
   struct Told {  // to the core, of a database
@@ -324,6 +342,7 @@
                    }}};
   std::uint64_t told_ = 0;
   bool watching_ = false;
+  Millis stop_taking_at_ = 0;  // of a process that was asked to end
 };
 
 int run_pooler() {
--- /dev/null
+++ b/tests/net/line_connection_test.cc
@@ -0,0 +1,80 @@
+// Ends of a connection, over real sockets on loopback.
+#include "net/line_connection.h"
+
+#include <gtest/gtest.h>
+
+#include "net/constants.h"
+
+namespace pebblespindle {
+namespace {
+
+using asio::ip::tcp;
+
+struct LineConnectionEnd : testing::Test {
+  LineConnectionEnd() {
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    client.connect(acceptor.local_endpoint());
+    connection = std::make_shared<LineConnection>(acceptor.accept(), kMaxMessageBytes);
+    connection->start({[this](std::string_view) { ++lines; }, [this](LineConnection::End) { ++ends; }, {}});
+  }
+  void run(Millis ms) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(ms));
+  }
+  // All that the client can still read; `reset` when the connection was broken instead of ended.
+  std::size_t drain(bool& reset) {
+    client.non_blocking(true);
+    std::size_t total = 0;
+    std::array<char, 65536> chunk{};
+    for (int turn = 0; turn < 2000; ++turn) {
+      asio::error_code ec;
+      total += client.read_some(asio::buffer(chunk), ec);
+      reset = ec == asio::error::connection_reset;
+      if (reset || ec == asio::error::eof) break;
+      run(1);
+    }
+    return total;
+  }
+  asio::io_context io;
+  tcp::socket client{io};
+  LineConnection::Ptr connection;
+  int lines = 0, ends = 0;
+};
+
+constexpr std::size_t kAnswerBytes = 8 << 20;  // more than the kernel takes at once
+
+// Guards against an answer lost to a reset: its client had sent on, and the connection was closed unread.
+TEST_F(LineConnectionEnd, AnAnswerIsReadWholeThoughItsClientSendsOn) {
+  connection->send(std::string(kAnswerBytes, 'x'));
+  connection->close_lingering();
+  run(5);
+  for (int i = 0; i < 100; ++i) asio::write(client, asio::buffer(std::string("QUERY late FETCH k\r\n")));
+  bool reset = false;
+  EXPECT_EQ(drain(reset), kAnswerBytes);
+  EXPECT_FALSE(reset);
+  EXPECT_EQ(lines, 0) << "what comes after the end is nobody's";
+  client.close();
+  run(20);
+  EXPECT_FALSE(connection->open());
+  EXPECT_EQ(ends, 1);
+}
+
+TEST_F(LineConnectionEnd, APeerThatNeverEndsIsWaitedForOnlySoLong) {
+  connection->close_lingering();
+  run(kLingerMs / 2);
+  EXPECT_TRUE(connection->open());
+  run(kLingerMs);
+  EXPECT_FALSE(connection->open());
+  EXPECT_EQ(ends, 1);
+}
+
+TEST_F(LineConnectionEnd, APausedConnectionEndsToo) {
+  connection->pause(true);
+  connection->close_lingering();
+  client.close();
+  run(20);
+  EXPECT_FALSE(connection->open());
+}
+
+}  // namespace
+}  // namespace pebblespindle
--- /dev/null
+++ b/tests/pooler/engine_exit_test.cc
@@ -0,0 +1,176 @@
+// A pooler that ends: what it has read is answered, what comes late reaches no database
+// (docs/incidents/exit-cut-statements.md).
+#include "pooler/manual_databases.h"
+
+namespace pebblespindle::test {
+namespace {
+
+const std::string kStamp = "COMPLETE 7.1";
+
+struct PoolerExit : testing::Test {
+  PoolerExit() {
+    databases.feed();
+    databases.lease();
+  }
+  void leave() {
+    databases.engine.leave();
+    databases.engine.close_idle();
+    databases.engine.stop_taking();
+  }
+  bool reached(const std::string& statement) const {
+    return std::any_of(databases.written.begin(), databases.written.end(),
+                       [&](auto& line) { return line.starts_with("QUERY " + statement); });
+  }
+  // A session with a transaction whose statement of this id is at a database.
+  void begin(SessionId id, const std::string& statement) {
+    databases.connect(id);
+    databases.say(id, "QUERY b BEGIN");
+    databases.say(id, "QUERY " + statement + " STORE k v");
+    ASSERT_NE(databases.at(statement), 0u);
+    databases.news(id);
+  }
+  ManualDatabases databases;
+};
+
+// Guards against statements that are cut at the end of the process: busy transactions went on after half of
+// it.
+TEST_F(PoolerExit, ABusyTransactionEndsWithTheAnswerOfItsStatement) {
+  begin(1, "a1");
+  leave();
+  EXPECT_FALSE(databases.ended.count(1)) << "its statement is at work";
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  EXPECT_EQ(databases.news(1), kStamp + "\r\nIDLE T -\r\n");
+  EXPECT_TRUE(databases.ended.count(1));
+}
+
+// Guards against statements that are passed on with too little time left to answer them.
+TEST_F(PoolerExit, AStatementThatComesLateIsRefusedAndReachesNoDatabase) {
+  begin(1, "a1");
+  leave();
+  databases.say(1, "QUERY a2 STORE k w");
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  EXPECT_NE(databases.news(1).find("IDLE T -\r\nSTMTERR ABORTED"), std::string::npos);
+  EXPECT_FALSE(reached("a2"));
+  EXPECT_TRUE(databases.ended.count(1));
+}
+
+TEST_F(PoolerExit, ACommitThatComesLateIsRefusedWithAPromise) {
+  begin(1, "a1");
+  leave();
+  databases.say(1, "QUERY a2 COMMIT");
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  const std::string told = databases.news(1);
+  EXPECT_NE(told.find("STMTERR ABORTED"), std::string::npos) << told;
+  EXPECT_TRUE(told.ends_with("IDLE I -\r\n")) << told;
+  EXPECT_FALSE(reached("a2"));
+  EXPECT_TRUE(reached("- ROLLBACK")) << "its database still has the transaction";
+}
+
+TEST_F(PoolerExit, ALateRollbackIsAnswered) {
+  begin(1, "a1");
+  leave();
+  databases.say(1, "QUERY a2 ROLLBACK");
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  EXPECT_TRUE(databases.news(1).ends_with("COMPLETE -\r\nIDLE I -\r\n"));
+}
+
+// Nobody's answer gets worse: what was read in time is run to its end.
+TEST_F(PoolerExit, APipelineReadInTimeIsRunToItsEnd) {
+  begin(1, "a1");
+  databases.say(1, "QUERY a2 STORE k w");
+  databases.say(1, "QUERY a3 COMMIT");
+  leave();
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  EXPECT_TRUE(databases.answer_to("a2", {"COMPLETE 7.2", "IDLE T 1.2"}));
+  EXPECT_TRUE(databases.answer_to("a3", {"COMPLETE 7.3", "IDLE I 1.3"}));
+  EXPECT_TRUE(databases.news(1).ends_with("COMPLETE 7.3\r\nIDLE I -\r\n"));
+  EXPECT_TRUE(databases.ended.count(1));
+}
+
+// A client that always sends ahead kept its session, and its statements, until the process was gone.
+TEST_F(PoolerExit, ASessionThatSendsAheadEndsToo) {
+  databases.connect(1);
+  databases.say(1, "QUERY a1 STORE k v");
+  leave();
+  databases.news(1);
+  for (auto* id : {"a2", "a3", "a4"}) databases.say(1, std::string("QUERY ") + id + " STORE k v");
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE I 1.2"}));
+  const std::string told = databases.news(1);
+  EXPECT_TRUE(told.starts_with(kStamp)) << told;
+  std::size_t refused = 0;
+  for (std::size_t at = 0; (at = told.find("STMTERR THROTTLED", at)) != std::string::npos; ++at) ++refused;
+  EXPECT_EQ(refused, 3u) << told;
+  EXPECT_FALSE(reached("a2") || reached("a3") || reached("a4"));
+  EXPECT_TRUE(databases.ended.count(1));
+}
+
+TEST_F(PoolerExit, OpenTransactionsAtRestEndAndWorkStays) {
+  databases.connect(1);
+  databases.say(1, "QUERY b BEGIN");
+  begin(2, "a1");
+  databases.engine.leave();
+  databases.engine.close_idle();
+  EXPECT_TRUE(databases.ended.empty()) << "transactions have half of the grace period";
+  databases.engine.stop_taking();
+  EXPECT_TRUE(databases.ended.count(1));
+  databases.pass(500);
+  EXPECT_FALSE(databases.ended.count(2)) << "a database's silence is no reason to end an answer sooner";
+}
+
+// The last resort: an answer that says what is known, in place of a connection that ends.
+TEST_F(PoolerExit, WhatIsGivenUpIsAnswered) {
+  struct Case {
+    const char* what;
+    std::vector<std::string> lines;
+    const char* answer;
+  };
+  const std::vector<Case> cases = {
+      {"a write that may have run", {"QUERY w STORE k v"}, "STMTERR UNKNOWN"},
+      {"a read", {"QUERY w FETCH k"}, "STMTERR THROTTLED"},
+      {"a statement of a transaction", {"QUERY b BEGIN", "QUERY w STORE k v"}, "STMTERR ABORTED"},
+  };
+  for (auto& [what, lines, answer] : cases) {
+    ManualDatabases one;
+    one.feed();
+    one.lease();
+    one.connect(1);
+    for (auto& line : lines) one.say(1, line);
+    ASSERT_NE(one.at("w"), 0u) << what;
+    one.news(1);
+    one.engine.leave();
+    one.engine.close_idle();
+    one.engine.stop_taking();
+    one.engine.give_up();
+    EXPECT_TRUE(one.news(1).starts_with(answer)) << what;
+    EXPECT_TRUE(one.ended.count(1)) << what;
+    EXPECT_EQ(one.engine.sessions(), 0u) << what;
+  }
+}
+
+TEST_F(PoolerExit, ACommitThatIsGivenUpIsInDoubt) {
+  begin(1, "a1");
+  EXPECT_TRUE(databases.answer_to("a1", {kStamp, "IDLE T 1.2"}));
+  databases.say(1, "QUERY a2 COMMIT");
+  ASSERT_NE(databases.at("a2"), 0u);
+  databases.news(1);
+  leave();
+  databases.engine.give_up();
+  EXPECT_TRUE(databases.news(1).starts_with("STMTERR UNKNOWN"));
+}
+
+TEST_F(PoolerExit, WhatWaitsForAConnectionIsGivenUpWithAPromise) {
+  databases.most = 0;
+  databases.connect(1);
+  databases.say(1, "QUERY a1 STORE k v");
+  databases.say(1, "QUERY a2 STORE k v");
+  databases.news(1);
+  leave();
+  databases.engine.give_up();
+  const std::string told = databases.news(1);
+  EXPECT_TRUE(told.starts_with("STMTERR THROTTLED")) << told;
+  EXPECT_NE(told.find("STMTERR THROTTLED", 1), std::string::npos) << "so is what waits behind it: " << told;
+  EXPECT_FALSE(reached("a1") || reached("a2"));
+}
+
+}  // namespace
+}  // namespace pebblespindle::test
--- a/tests/pooler/session_cluster.cc
+++ b/tests/pooler/session_cluster.cc
@@ -156,7 +156,10 @@
     engine_->leave();
     engine_->close_idle();
     later(100 + pick(300), [this, life = life_] {
-      if (life == life_) engine_->abort_open();
+      if (life == life_) engine_->stop_taking();
+    });
+    later(430, [this, life = life_] {
+      if (life == life_) engine_->give_up();
     });
     later(450, [this, life = life_] {
       if (life == life_) start_pooler();
