--- a/src/controller/control_api.cc
+++ b/src/controller/control_api.cc
@@ -39,6 +39,7 @@
     done(std::move(reply));
     loop_.rearm();
   };
+  if (exiting_) return answer(error_reply(503, "this controller ends"));
   const std::string prefix = kInstancesPath;
   const bool get = request.method == "GET";
   if (request.path == "/configuration") {
--- a/src/replication/pending_requests.cc
+++ b/src/replication/pending_requests.cc
@@ -8,6 +8,7 @@
 namespace {
 
 const char* const kNoAnswer = "no answer from the chain";
+const char* const kEnded = "this controller ends";
 
 template <class Request>
 std::vector<RequestId> timed_out(Instant now, const std::map<RequestId, Request>& requests) {
@@ -20,6 +21,7 @@
 }  // namespace
 
 void PendingRequests::submit(Instant now, const View& view, Json command, SubmitCallback done) {
+  if (ended_) return done(Status::no_answer(kEnded));
   const RequestId request = ++last_request_;
   Submission& submission = submissions_[request];
   submission.command = std::move(command);
@@ -29,6 +31,7 @@
 }
 
 void PendingRequests::read(Instant now, const View& view, const std::string& key, ReadCallback done) {
+  if (ended_) return done(Status::no_answer(kEnded));
   const RequestId request = ++last_request_;
   Read& read = reads_[request];
   read.key = key;
@@ -87,6 +90,12 @@
   for (auto id : ended_reads) finish_read(id, Status::no_answer(kNoAnswer));
 }
 
+void PendingRequests::end() {
+  ended_ = true;
+  for (auto& [id, submission] : std::exchange(submissions_, {})) submission.done(Status::no_answer(kEnded));
+  for (auto& [id, read] : std::exchange(reads_, {})) read.done(Status::no_answer(kEnded));
+}
+
 void PendingRequests::finish_submission(RequestId request, Status status) {
   auto it = submissions_.find(request);
   if (it == submissions_.end()) return;
--- a/src/replication/pending_requests.h
+++ b/src/replication/pending_requests.h
@@ -30,6 +30,9 @@
   void on_reply(const ReplicaId& from, const ReadReply& reply);
   // Sends again what is due, and ends what has taken too long.
   void tick(Instant now, const View& view);
+  // This process ends: whoever waits is told so now, and so is whoever comes later. What was submitted may
+  // still be committed.
+  void end();
 
  private:
   struct Submission {
@@ -54,6 +57,7 @@
 
   Outbox& outbox_;
   RequestId last_request_;
+  bool ended_ = false;
   std::map<RequestId, Submission> submissions_;
   std::map<RequestId, Read> reads_;
 };
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -189,6 +189,7 @@
   now_ = now;
   state_.stopped = true;
   give_back_leases();
+  requests_.end();
 }
 
 // --- the clock
