Exit schedule: an open transaction has all of the first half of GracePeriodS

Cause: the loop reads its clock in whole milliseconds, so a span by it may be shorter by up to one. Change: one millisecond more. ExitSchedule.StepsStayInOrderForAnyGracePeriod asks for more than half; on the code before it fails.

--- a/src/proxy/exit_schedule.h
+++ b/src/proxy/exit_schedule.h
@@ -18,9 +18,9 @@
   static ExitSchedule of(Millis grace_ms) {
     ExitSchedule schedule;
     const Millis half = std::max<Millis>(grace_ms, 0) / 2;
-    schedule.stop_taking_after = half;
+    schedule.stop_taking_after = half + kClockStepMs;
     schedule.close_idle_after = std::min(kUnreadinessNoticeMs, half * 3 / 4);
-    schedule.give_up_after = std::max(half, grace_ms - kGiveUpBeforeKillMs);
+    schedule.give_up_after = std::max(schedule.stop_taking_after, grace_ms - kGiveUpBeforeKillMs);
     schedule.end_after = std::max(schedule.give_up_after, grace_ms - kEndBeforeKillMs);
     return schedule;
   }
