--- a/src/pooler/constants.h
+++ b/src/pooler/constants.h
@@ -52,6 +52,8 @@
 constexpr int kReservedConnections = 4;
 // Sessions a pooler accepts; below its descriptor limit
 constexpr int kMaxSessions = 3500;
+// ms; a statement whose client has left may run on so long, since its connection is worth keeping
+constexpr Millis kAbandonedStatementMs = 400;
 // ms; a client that a node refuses as it ends need not wait: other nodes serve it
 constexpr Millis kEndingRetryMs = 1;
 // Values or prepared names one session may hold
--- a/src/pooler/engine.cc
+++ b/src/pooler/engine.cc
@@ -147,7 +147,7 @@
   }
   c.script.clear();
   timers_.cancel(c.timer);
-  c.timer = timers_.at(now_ + kServerConnectMs, [this, id = c.id] { server_down(id, false, false); });
+  c.timer = timers_.at(now_ + kAbandonedStatementMs, [this, id = c.id] { server_down(id, false, false); });
 }
 
 void Engine::pump(Session& session) {
--- a/tests/pooler/engine_answers_test.cc
+++ b/tests/pooler/engine_answers_test.cc
@@ -37,6 +37,18 @@
   EXPECT_EQ(count("QUERY b1"), 1u) << "it was written, and what came of it is not known";
 }
 
+// Guards against a database that works on for a second for a client that has left.
+TEST_F(PoolerAnswers, AStatementWhoseClientHasLeftEndsWithinHalfASecond) {
+  q.connect(1);
+  q.say(1, "QUERY a1 FETCH k");
+  const ConnId id = q.at("a1");
+  q.engine.client_closed(1);
+  q.pass(200);
+  EXPECT_TRUE(q.lines[id].open) << "most end soon, and the connection is kept";
+  q.pass(290);
+  EXPECT_FALSE(q.lines[id].open);
+}
+
 TEST_F(PoolerAnswers, BytesBehindAnAnswerEndTheConnection) {
   for (std::string tail : {"DATAROW x", "COMPLETE 7.9", "STMTERR THROTTLED x", "IDLE I 1.1", "HUM", ""}) {
     for (bool later : {false, true}) {
