--- a/src/sidecar/constants.h
+++ b/src/sidecar/constants.h
@@ -78,6 +78,8 @@
 constexpr Millis kMinIdleLimitMs = 50;
 // ms; a refused client comes back after about half a request's work
 constexpr Millis kRetryAfterMs = 80;
+// ms; a request whose caller has left may run on so long, since its connection is worth keeping
+constexpr Millis kAbandonedRequestMs = 400;
 // ms; callers count a second of silence as a failure
 constexpr Millis kHeartbeatAnswerMs = 900;
 
--- a/src/sidecar/inbound.cc
+++ b/src/sidecar/inbound.cc
@@ -343,20 +343,38 @@
 void Inbound::cancel(LinkId link, std::uint64_t n) {
   for (auto& [id, j] : jobs_) {
     if (j.link != link || j.n != n) continue;
-    j.wanted = false;
-    if (queue_.erase(rank(id, j))) return end_job(id);
-    return;  // what runs at the database ends there by itself
+    if (abandon(id)) end_job(id);
+    return;
   }
 }
 
 void Inbound::link_gone(LinkId link) {
-  std::vector<std::uint64_t> waiting;
-  for (auto& [id, j] : jobs_) {
-    if (j.link != link) continue;
-    j.wanted = false;
-    if (queue_.erase(rank(id, j))) waiting.push_back(id);
-  }
-  for (auto id : waiting) end_job(id);
+  std::vector<std::uint64_t> never_run;
+  for (auto& [id, j] : jobs_)
+    if (j.link == link && abandon(id)) never_run.push_back(id);
+  for (auto id : never_run) end_job(id);
+}
+
+// True: it still waits here, and is over with this.
+bool Inbound::abandon(std::uint64_t id) {
+  Job& j = jobs_[id];
+  if (!std::exchange(j.wanted, false)) return false;
+  if (queue_.erase(rank(id, j))) return true;
+  if (!j.safe) return false;  // what is known of it then would be less than what its database says
+  timers_.cancel(j.timer);
+  j.timer = timers_.at(std::min(j.deadline, now_ + kAbandonedRequestMs), [this, id] {
+    jobs_[id].timer = 0;
+    break_off(id);
+  });
+  return false;
+}
+
+// The end of its connection ends it at the database.
+void Inbound::break_off(std::uint64_t id) {
+  drop_server(jobs_[id].conn);
+  --running_;
+  end_job(id);
+  pump();
 }
 
 }  // namespace pebblespindle::sidecar
--- a/src/sidecar/inbound.h
+++ b/src/sidecar/inbound.h
@@ -32,7 +32,8 @@
   const std::optional<Instance>& database() const { return here_; }
 
   void offer(LinkId link, const Json& m);
-  // Nobody waits for it any more: what has not been written to the database never will be.
+  // Nobody waits for it any more: what has not been written to the database never will be, and what may be
+  // repeated is broken off there unless it ends soon.
   void cancel(LinkId link, std::uint64_t n);
   void link_gone(LinkId link);
 
@@ -82,6 +83,8 @@
   void start(std::uint64_t id);
   void run_on(std::uint64_t id, ConnId conn);
   void on_deadline(std::uint64_t id);
+  bool abandon(std::uint64_t id);
+  void break_off(std::uint64_t id);
   void end_job(std::uint64_t id);
   void drop_server(ConnId id);
   void distrust(Millis rested);
--- a/tests/sidecar/answers_test.cc
+++ b/tests/sidecar/answers_test.cc
@@ -345,5 +345,31 @@
   EXPECT_EQ(done.back(), (std::pair<std::string, int>{"end again", 200}));
 }
 
+// Guards against a database that works on for a caller that has left, and keeps a slot with it.
+TEST(Answers, WhatMayBeRepeatedIsBrokenOffOnceItsCallerHasLeft) {
+  for (bool by_link : {false, true}) {
+    Beside b;
+    b.offer(1, true);
+    b.offer(2, false);
+    for (auto conn : b.opened) b.in.server_up(conn);
+    const ConnId safe = b.opened.at(0), once = b.opened.at(1);
+    if (by_link) {
+      b.in.link_gone(1);
+    } else {
+      b.in.cancel(1, 1);
+      b.in.cancel(1, 2);
+    }
+    b.step(kAbandonedRequestMs - 1);
+    EXPECT_FALSE(b.ended(safe)) << "most end soon, and the connection is kept";
+    b.in.cancel(1, 1);  // told twice: the time runs from the first
+    b.step(1);
+    EXPECT_TRUE(b.ended(safe));
+    EXPECT_FALSE(b.ended(once)) << "what may not run twice has its whole time";
+    EXPECT_EQ(b.in.busy(), 1u);
+    b.in.server_reply(safe, {200, "late", {{kSealField, "s"}, {kIdField, "q1"}}}, 0);
+    EXPECT_EQ(b.said(1), "");
+  }
+}
+
 }  // namespace
 }  // namespace pebblespindle::test::mesh
--- a/tests/sidecar/sidecar_test.cc
+++ b/tests/sidecar/sidecar_test.cc
@@ -223,8 +223,8 @@
   int peer = Mesh::of(to);
   if (mesh.cut(no, peer)) {  // the kernel gives up after a while
     auto life = mesh.lives[no];
-    mesh.later(200, [=, this, &m = mesh] {
-      if (m.lives[no] == life) out.link_down(to, true);
+    mesh.later(200, [=, this, &m = mesh, self = no] {
+      if (m.lives[self] == life) out.link_down(to, true);
     });
     return;
   }
@@ -248,16 +248,16 @@
 void Ship::open_server(ConnId id) {
   apps[id];
   auto life = mesh.lives[no];
-  mesh.later(1, [=, this, &m = mesh] {
-    if (m.lives[no] != life || !apps.count(id)) return;
+  mesh.later(1, [=, this, &m = mesh, self = no] {
+    if (m.lives[self] != life || !apps.count(id)) return;
     in.set_time(m.now);
     in.server_up(id);
   });
 }
 void Ship::to_server(ConnId id, const Call& c) {
   auto life = mesh.lives[no];
-  mesh.later(1, [=, this, &m = mesh] {
-    if (m.lives[no] == life && apps.count(id)) m.arrive(no, id, c);
+  mesh.later(1, [=, this, &m = mesh, self = no] {
+    if (m.lives[self] == life && apps.count(id)) m.arrive(no, id, c);
   });
 }
 
