--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -28,6 +28,7 @@
       "MachineLosses": {"type": "integer", "minimum": 0, "maximum": 3}}},
     "TargetService": {"type": "string", "minLength": 1},
     "AppServerAddr": {"type": "string"},
+    "AgentLinkAddr": {"type": "string"},
     "PlatformApi": {"type": ["object", "null"]}
   }
 })";
@@ -89,6 +90,10 @@
     if (!settings.platform)
       return Status::invalid_argument("PlatformApi.Address: not an address with a port");
   }
+  if (fields.contains("AgentLinkAddr")) {
+    settings.agent_link = Endpoint::parse(fields["AgentLinkAddr"].get<std::string>());
+    if (!settings.agent_link) return Status::invalid_argument("AgentLinkAddr: not an address with a port");
+  }
   settings.target_service = fields.value("TargetService", "");
   if (fields.contains("AppServerAddr")) {
     settings.app = Endpoint::parse(fields["AppServerAddr"].get<std::string>());
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -28,6 +28,7 @@
   int max_open_files = 0;
   int machine_losses = 1;  // of controllers, at once, while every rule still holds
   std::optional<Endpoint> platform;
+  std::optional<Endpoint> agent_link;  // where several nodes share a host, each with an address of its own
   // On the machine of an application database: its service, and where it listens.
   std::string target_service;
   std::optional<Endpoint> app;
@@ -39,7 +40,9 @@
   // Where controllers take links of agents and of other controllers.
   Endpoint control_link_endpoint() const { return {ip, internal_port_first}; }
   // Where an agent takes the link of the proxy beside it.
-  Endpoint agent_endpoint() const { return {"127.0.0.1", std::uint16_t(internal_port_first + 1)}; }
+  Endpoint agent_endpoint() const {
+    return agent_link.value_or(Endpoint{"127.0.0.1", std::uint16_t(internal_port_first + 1)});
+  }
   // Where a sidecar takes links of other sidecars.
   Endpoint sidecar_endpoint() const { return {ip, std::uint16_t(internal_port_first + 2)}; }
 };
--- /dev/null
+++ b/tools/soaklib/platform_api.py
@@ -0,0 +1,59 @@
+"""The platform: carries out promotes, asks machines whether they are ready, and hands clients to those that are."""
+import asyncio
+import json
+
+from soaklib.http_calls import answer_bytes, call_within, read_request
+from soaklib.machines import PLATFORM_PORT, READY_PORT
+
+PROMOTE_S = 0.1
+PROBE_S = 1.0
+MISSES_UNTIL_OUT = 2
+
+
+class Platform:
+    def __init__(self, fleet, services):
+        self.fleet, self.services = fleet, {service.name: service for service in services}
+        self.slow_s = 0.0
+        self.misses = {machine.name: MISSES_UNTIL_OUT for machine in fleet.edges}
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.fleet.platform_host(), PLATFORM_PORT)
+        for machine in self.fleet.edges:
+            asyncio.get_running_loop().create_task(self.probe(machine))
+
+    async def serve(self, reader, writer):
+        request = await read_request(reader)
+        if request:
+            writer.write(answer_bytes(await self.answer(*request)))
+        writer.close()
+
+    async def answer(self, method, path, headers, body):
+        if method != "POST" or path != "/failovers":
+            return 404
+        order = json.loads(body)
+        service = self.services.get(order["TargetService"])
+        database = next((one for one in service.running() if one.id == order["InstanceId"]), None) if service else None
+        await asyncio.sleep(PROMOTE_S + self.slow_s)
+        if not database or not database.up:
+            return 409
+        if service.leader() is database:
+            return 200
+        promote = service.promote(database, headers["x-pebblespindle-duty-holder"],
+                                  int(headers["x-pebblespindle-fence-token"]))
+        asyncio.get_running_loop().create_task(promote)
+        return 200
+
+    async def probe(self, machine):
+        while True:
+            status, _ = await call_within(PROBE_S, machine.address(READY_PORT), "GET", "/readiness")
+            self.misses[machine.name] = 0 if status == 200 else self.misses[machine.name] + 1
+            await asyncio.sleep(PROBE_S)
+
+    def ready_machines(self):
+        return [machine for machine in self.fleet.edges if self.misses[machine.name] < MISSES_UNTIL_OUT]
+
+    def pick(self, random, but=None):
+        """A machine for a new connection: one that is ready, else any."""
+        fit = [machine for machine in self.ready_machines() if machine is not but] or self.fleet.edges
+        return random.choice(fit)
--- /dev/null
+++ b/tools/soaklib/wire.py
@@ -0,0 +1,67 @@
+"""A client's connection: lines as they arrive, and the moment at which it ended."""
+import asyncio
+
+
+class Wire(asyncio.Protocol):
+    def __init__(self, clock):
+        self.clock, self.buffer = clock, b""
+        self.transport, self.ended_at, self.waiter = None, None, None
+
+    @classmethod
+    async def connect(cls, clock, host, port, seconds=1.0):
+        loop = asyncio.get_running_loop()
+        _, wire = await asyncio.wait_for(loop.create_connection(lambda: cls(clock), host, port), seconds)
+        return wire
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self.buffer += data
+        self.wake()
+
+    def take_line(self):
+        """The next whole line; none as long as it has not come."""
+        line, end, rest = self.buffer.partition(b"\r\n")
+        if not end:
+            return None
+        self.buffer = rest
+        return line.decode(errors="replace")
+
+    def take_bytes(self, length):
+        if len(self.buffer) < length:
+            return None
+        taken, self.buffer = self.buffer[:length], self.buffer[length:]
+        return taken.decode(errors="replace")
+
+    def eof_received(self):
+        self.note_end()
+
+    def connection_lost(self, _):
+        self.note_end()
+
+    def note_end(self):
+        if self.ended_at is None:
+            self.ended_at = self.clock()
+        self.wake()
+
+    def wake(self):
+        if self.waiter and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def send(self, text):
+        if self.ended_at is None:
+            self.transport.write(text.encode())
+
+    async def wait(self, seconds):
+        """Until something has come, the connection has ended, or the time is over."""
+        self.waiter = asyncio.get_running_loop().create_future()
+        try:
+            await asyncio.wait_for(self.waiter, seconds)
+        except asyncio.TimeoutError:
+            pass
+        self.waiter = None
+
+    def close(self):
+        if self.transport:
+            self.transport.close()
