--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -15,6 +15,11 @@
   return s;
 }
 
+// What a target consists of (RFC 9112): other bytes would end up in logs, in JSON and in the stored state.
+bool is_target(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
 std::map<std::string, std::string> by_name(const HttpFields& fields) {
   std::map<std::string, std::string> m;
   for (auto& [name, value] : fields) m[lower(name)] = value;
@@ -69,8 +74,9 @@
     }
     pending_.erase(0, took);
     HttpMessage m = in_.take();
-    close_ = !m.keep_alive;
+    close_ = !m.keep_alive || !is_target(m.target);
     due_ = true;
+    if (!is_target(m.target)) return answer({400, "", {}});
     auto self = shared_from_this();
     (*handler_)({m.method, m.target, std::move(m.body), by_name(m.fields)},
                 [self](HttpReply r) { self->answer(std::move(r)); });
