--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -123,6 +123,8 @@
         self.assert_broken(checks.check_configuration, history_of(changes=[self.change(2, 1, valid=False)]))
         self.assert_broken(checks.check_configuration, history_of(changes=[one], readings=[Reading(5, 1)]))
         self.assert_broken(checks.check_configuration, history_of(changes=[one], readings=[Reading(5, None)]))
+        self.assert_broken(checks.check_configuration, history_of(changes=[self.change(2, 1, 0)]))
+        self.assert_broken(checks.check_steps, history_of(unfinished_steps=["4.00 s  change"]))
 
     def test_held(self):
         changes = [self.change(2, 1), self.change(3, 1, 412), self.change(4, 2, 400, valid=False)]
--- a/tools/soaklib/checks.py
+++ b/tools/soaklib/checks.py
@@ -32,7 +32,7 @@
 def check_all(history):
     checks = [check_cut_requests, check_drain, check_open_transactions, check_configuration, check_content,
               check_run_twice, check_promises, check_acknowledged_commits, check_fencing, check_gone, check_processes,
-              check_resources, check_silence]
+              check_resources, check_silence, check_steps]
     return [check(history) for check in checks]
 
 
@@ -118,6 +118,14 @@
     return None
 
 
+def check_steps(history):
+    """Every step of the plan comes to an end: an order that nobody answers, a process that cannot be stopped."""
+    result = Result("Every step of the plan ends", looked_at=len(history.unfinished_steps))
+    for step in history.unfinished_steps:
+        result.break_with("did not end", step=step)
+    return result
+
+
 def check_drain(history):
     """DRAIN: a request reaches a database later than DrainMs after a machine acknowledged that it is draining."""
     result = Result("DRAIN: requests at databases that have left")
@@ -164,6 +172,8 @@
     taken = {}
     for change in history.changes:
         result.looked_at += 1
+        if change.status == 0 and change.valid:
+            result.break_with("no controller answered", change=summary_of(change))
         if change.status != 200:
             continue
         if not change.valid:
--- a/tools/soaklib/history.py
+++ b/tools/soaklib/history.py
@@ -139,6 +139,7 @@
     final_logs: dict = field(default_factory=dict)  # service -> requests in the log of its leader, at the end
     process_ends: list = field(default_factory=list)
     resources: list = field(default_factory=list)
+    unfinished_steps: list = field(default_factory=list)  # of the plan
     busy_spans: list = field(default_factory=list)  # [from, until]: this process itself was late
     ended_at: float = 0
 
--- a/tools/soaklib/operator_calls.py
+++ b/tools/soaklib/operator_calls.py
@@ -7,7 +7,7 @@
 from soaklib.machines import CONTROL_PORT
 
 ANSWER_S = 1.0
-TRIES = 40
+TRIES = 20
 FINAL = (400, 409, 412, 413, 422)
 
 
--- a/tools/soaklib/plan.py
+++ b/tools/soaklib/plan.py
@@ -5,6 +5,7 @@
 
 FIRST_AT_S = 4.0  # in touch by then
 CALM_END_S = 4.0  # answers and read-backs without further trouble
+LONGEST_STEP_S = 40.0  # after the last one began; an order that is never acknowledged is given up before
 PLANNED_SHARE = 0.55  # of the time, from the begin on, in which only planned work comes
 
 
@@ -68,8 +69,14 @@
         begin = self.world.clock()
         for step in steps:
             await asyncio.sleep(max(0, step.at_s - (self.world.clock() - begin) / 1000))
-            self.tasks.append(asyncio.get_running_loop().create_task(getattr(self, step.kind)(step)))
-        await asyncio.gather(*self.tasks)
+            self.tasks.append(asyncio.get_running_loop().create_task(getattr(self, step.kind)(step), name=step.text()))
+        done, unfinished = await asyncio.wait(self.tasks, timeout=LONGEST_STEP_S) if self.tasks else ((), ())
+        for task in unfinished:
+            self.world.history.unfinished_steps.append(f"{task.get_name()}: {task.get_stack(limit=1)}")
+            task.cancel()
+        for task in done:
+            if task.exception():
+                raise task.exception()
 
     def edge(self, step, offset=0):
         return self.fleet.edges[(step.index + offset) % len(self.fleet.edges)]
