--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -184,12 +184,13 @@
   linger_timer_->async_wait([self = shared_from_this()](const asio::error_code& ec) {
     if (!ec) self->end(End::kClosed);
   });
-  await_peer_end();
+  // Not from within this call: the peer may have ended already, and on_end would surprise the caller.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->await_peer_end(); });
 }
 
 // Looks without reading. Once there are bytes, the end behind them cannot be seen any more.
 void LineConnection::await_peer_end() {
-  if (!half_closed_ || reading_) return;
+  if (!open_ || !half_closed_ || reading_) return;
   char byte = 0;
   asio::error_code ec;
   socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -33,9 +33,9 @@
   void close();              // at once; no more callbacks
   void close_after_flush();  // what was sent is written first
   // The same for a peer that may still be sending: this side ends once all is written, and the socket stays
-  // until the peer has ended too, for kLingerMs at most; then on_end is called. A close with unread bytes
-  // resets the connection, and answers still on their way would be lost with it. What comes meanwhile is not
-  // read, so that its sender can tell.
+  // until the peer has ended too, for kLingerMs at most; then on_end is called, never before this returns. A
+  // close with unread bytes resets the connection, and answers still on their way would be lost with it. What
+  // comes meanwhile is not read, so that its sender can tell.
   void close_lingering();
   bool open() const { return open_; }
   std::size_t queued() const { return out_.size() + flight_.size(); }
--- a/src/pooler/pooler.cc
+++ b/src/pooler/pooler.cc
@@ -82,13 +82,11 @@
   void end_client(SessionId id) override {
     auto it = clients_.find(id);
     if (it == clients_.end()) return;
-    if (engine_.leaving()) {  // its client may be about to send
-      it->second->close_lingering();
-      ending_.push_back(it->second);
-    } else {
-      it->second->close_after_flush();
-    }
+    const LineConnection::Ptr connection = it->second;
     clients_.erase(it);
+    if (!engine_.leaving()) return connection->close_after_flush();
+    ending_.push_back(connection);
+    connection->close_lingering();  // its client may be about to send
   }
   void open_server(ConnId id, const Endpoint& at) override {
     LineConnection::connect(
--- a/tests/net/line_connection_test.cc
+++ b/tests/net/line_connection_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "net/constants.h"
 
 namespace pebblespindle {
@@ -68,6 +70,18 @@
   EXPECT_EQ(ends, 1);
 }
 
+// Guards against a process that crashes as it ends: the client had closed already, and the owner of the
+// connection was called back while it was ending it.
+TEST_F(LineConnectionEnd, AnEndIsToldOfLaterAndNotFromWithinTheCall) {
+  client.close();
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  connection->close_lingering();
+  EXPECT_EQ(ends, 0);
+  run(20);
+  EXPECT_EQ(ends, 1);
+  EXPECT_FALSE(connection->open());
+}
+
 TEST_F(LineConnectionEnd, APausedConnectionEndsToo) {
   connection->pause(true);
   connection->close_lingering();
--- a/tools/soaklib/sessions.py
+++ b/tools/soaklib/sessions.py
@@ -80,9 +80,22 @@
             await self.prepared()
         elif draw < 0.93:
             await self.leave_partway()
+        elif draw < 0.96:
+            await self.close()
         else:
             await asyncio.sleep(self.random.uniform(0.5, 2))  # it rests
 
+    async def close(self):
+        """One operation, and CLOSE right behind it: the session ends from this side, mostly with its last answer."""
+        request = self.ask(self.read())
+        if self.wire:
+            self.wire.send("CLOSE\r\n")
+            if self.random.random() < 0.5 and await self.answer(request):
+                await asyncio.sleep(self.random.uniform(0, 0.005))
+            elif request.outcome == "open":
+                request.outcome, request.ended_at = "left", self.clock()
+        self.drop()
+
     def read(self):
         return f"FETCH {self.random.randrange(1000)}"
 
