--- a/tools/soaklib/applications.py
+++ b/tools/soaklib/applications.py
@@ -18,6 +18,7 @@
         self.up = False
         self.server = self.beating = None
         self.connections = set()
+        self.delay_s, self.resets = 0.0, 0  # of its links
 
     @property
     def id(self):
@@ -35,6 +36,12 @@
         for writer in list(self.connections):
             writer.transport.abort()
 
+    def reset_links(self):
+        """All its connections break; the application itself runs on."""
+        self.resets += 1
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     async def crash(self, seconds):
         await self.stop()
         await asyncio.sleep(seconds)
@@ -57,7 +64,9 @@
                 request = await read_request(reader)
                 if request is None or not self.up:
                     return
-                writer.write(await self.run(reader, *request))
+                answer = await self.run(reader, *request)
+                await asyncio.sleep(self.delay_s)
+                writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -69,14 +78,15 @@
         name = headers.get("x-pebblespindle-request-id", "")
         if headers.get("x-pebblespindle-target-instance", self.id) != self.id:
             return answer_bytes(421, "", ["X-Pebblespindle-Not-Executed: 1", f"X-Pebblespindle-Request-Id: {name}"])
-        run = Run(self.id, self.clock())
+        run, resets = Run(self.id, self.clock()), self.resets
         known = self.history.requests.get(name)
         if known:
             known.runs.append(run)
         try:
             await self.work(reader, known)
         finally:
-            run.ended_at, run.broken_off_by_database = self.clock(), not self.up
+            run.ended_at = self.clock()
+            run.broken_off_by_database = not self.up or self.resets != resets
         return answer_bytes(200, f"for {name}", [f"X-Pebblespindle-Request-Id: {name}",
                                                  f"X-Pebblespindle-Response-Seal: seal.{name}"])
 
--- a/tools/soaklib/databases.py
+++ b/tools/soaklib/databases.py
@@ -84,6 +84,7 @@
         self.connections, self.slots, self.call_count, self.running = set(), asyncio.Semaphore(SLOTS), 0, 0
         self.server = None
         self.beating = None
+        self.delay_s, self.resets = 0.0, 0  # of its links
 
     # --- life
 
@@ -102,6 +103,12 @@
             writer.transport.abort()
         self.connections.clear()
 
+    def reset_links(self):
+        """All its connections break; the database itself runs on."""
+        self.resets += 1
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     async def crash(self, seconds):
         await self.stop()
         await asyncio.sleep(seconds)
@@ -244,6 +251,7 @@
                 rows = f"STMTERR {refused}\r\n"
                 if self.state == "T":
                     self.state = "E"
+            await asyncio.sleep(self.database.delay_s)
             if not self.database.up:
                 return
             self.writer.write(f"{rows}IDLE {self.state} {text_of(self.database.position)}\r\n".encode())
@@ -293,7 +301,7 @@
     async def work(self, request, verb):
         """A read, write or commit: takes a slot for a while, then does what it says."""
         database = self.database
-        run = Run(database.id, database.service.clock())
+        run, resets = Run(database.id, database.service.clock()), database.resets
         known = database.service.history.requests.get(request)
         if known:
             known.runs.append(run)
@@ -307,7 +315,7 @@
                     database.running -= 1
         finally:
             run.ended_at = database.service.clock()
-            run.broken_off_by_database = not database.up
+            run.broken_off_by_database = not database.up or database.resets != resets
         row = f"DATAROW row-{request}\r\n" if verb == "FETCH" else ""
         return row, stamp
 
--- a/tools/soaklib/plan.py
+++ b/tools/soaklib/plan.py
@@ -5,6 +5,7 @@
 
 FIRST_AT_S = 4.0  # in touch by then
 CALM_END_S = 4.0  # answers and read-backs without further trouble
+SLOW_LINK_S = 0.15
 LONGEST_STEP_S = 40.0  # after the last one began; an order that is never acknowledged is given up before
 PLANNED_SHARE = 0.55  # of the time, from the begin on, in which only planned work comes
 
@@ -39,8 +40,9 @@
            "change", "patch", "race", "invalid", "release", "lose_answers"]
 PLANNED_MESH = [kind for kind in PLANNED if kind != "release"] + ["restart_database"]
 UNPLANNED = ["kill", "kill_core", "wipe_core", "freeze", "freeze_core", "crash_primary", "deaf_replica",
-             "slow_platform", "terminate_in_failover", "terminate"]
-UNPLANNED_MESH = ["kill", "kill_core", "freeze", "freeze_core", "crash_database", "terminate"]
+             "slow_platform", "terminate_in_failover", "terminate", "reset_links", "slow_links"]
+UNPLANNED_MESH = ["kill", "kill_core", "freeze", "freeze_core", "crash_database", "terminate", "reset_links",
+                  "slow_links"]
 
 
 def draw_plan(seed, sizes, seconds):
@@ -210,6 +212,26 @@
         await asyncio.sleep(step.seconds)
         self.world.platform.slow_s = 0
 
+    def database(self, step):
+        """(a database, what its troubles are named for)"""
+        if self.world.applications:
+            application = self.world.applications[step.index % len(self.world.applications)]
+            return application, application.machine.name
+        service = self.service(step)
+        return service.databases[step.index % len(service.databases)], service.name
+
+    async def reset_links(self, step):
+        database, target = self.database(step)
+        self.fleet.trouble("reset links", target, 500, False)
+        database.reset_links()
+
+    async def slow_links(self, step):
+        database, target = self.database(step)
+        self.fleet.trouble("slow links", target, step.seconds * 1000, False)
+        database.delay_s = SLOW_LINK_S
+        await asyncio.sleep(step.seconds)
+        database.delay_s = 0
+
     async def crash_database(self, step):
         application = self.world.applications[step.index % len(self.world.applications)]
         if application.up:
