--- a/tools/soaklib/machines.py
+++ b/tools/soaklib/machines.py
@@ -1,5 +1,6 @@
 """The system's own processes: settings, start, signals, ends; each machine has a loopback address of its own."""
 import asyncio
+import fcntl
 import json
 import os
 import signal
@@ -32,7 +33,7 @@
     def __init__(self, binary, history, clock, sizes):
         self.binary, self.history, self.clock, self.sizes = binary, history, clock, sizes
         self.folder = tempfile.mkdtemp(prefix="soak-")
-        self.network = free_network()
+        self.network, self.network_lock = free_network()
         self.restarts = 0
         self.ending = False
         self.controllers = [Machine(f"core-{i}", f"{self.network}.1.{i + 1}", ZONES[i % 3], ["controller"])
@@ -230,16 +231,17 @@
 
 
 def free_network():
-    """127.x whose first addresses nobody listens at."""
+    """(127.x whose first addresses nobody listens at, a lock on it that lasts as long as the file is open)."""
     for step in range(180):
         network = f"127.{40 + (os.getpid() + step * 7) % 180}"
+        lock = open(os.path.join(tempfile.gettempdir(), f"soak-network-{network}.lock"), "w", encoding="utf-8")
         try:
-            with socket.socket() as probe:
-                probe.bind((f"{network}.1.1", CONTROL_PORT))
-                probe.listen()
-            with socket.socket() as probe:
-                probe.bind((f"{network}.4.1", PLATFORM_PORT))
-            return network
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            for host, port in ((f"{network}.1.1", CONTROL_PORT), (f"{network}.4.1", PLATFORM_PORT)):
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+                    probe.listen()
+            return network, lock
         except OSError:
-            continue
+            lock.close()
     raise OSError("no free loopback network")
--- a/tools/soaklib/operator_calls.py
+++ b/tools/soaklib/operator_calls.py
@@ -39,11 +39,7 @@
                            "IdleTimeoutMs": 15000, "TransactionIdleMs": 3000}}
 
     async def first(self):
-        for _ in range(100):
-            if (await self.put(1, 0)).status == 200:
-                return True
-            await asyncio.sleep(0.2)
-        return False
+        return (await self.put(1, 0)).status == 200
 
     async def put(self, revision, base, body=None, valid=True, method="PUT"):
         change = Change(revision, base, valid, self.clock(), body=body or self.configuration(revision))
