--- a/tools/scale_run.py
+++ b/tools/scale_run.py
@@ -15,6 +15,8 @@
 import tempfile
 import time
 
+from soaklib.http_calls import call as http_call
+
 RENEW_S = 0.3
 
 
@@ -27,13 +29,10 @@
         "Services": [{"Name": f"s{i}", "MaxConnections": 50, "SyncReplicas": 1} for i in range(services)]})
 
 
-async def call(host, port, method, path, body, headers=()):
-    reader, writer = await asyncio.open_connection(host, port)
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}", "Connection: close", f"Content-Length: {len(body)}"]
-    writer.write(("\r\n".join(lines + list(headers)) + "\r\n\r\n" + body).encode())
-    answer = await reader.read()
-    writer.close()
-    return int(answer.split(b" ", 2)[1]) if answer else 0
+async def call(*request):
+    """The status of the answer; 0 where there was none."""
+    status, _ = await http_call(*request)
+    return status
 
 
 def start_cores(binary, cores, folder, base, command="controller"):
--- a/tools/soaklib/applications.py
+++ b/tools/soaklib/applications.py
@@ -4,43 +4,33 @@
 
 from soaklib.history import Run
 from soaklib.http_calls import answer_bytes, call_within, read_request
+from soaklib.listener import Listener, be_busy
 from soaklib.machines import APP_PORT, CONTROL_PORT, service_of
 
 HEARTBEAT_S = 1.0
 SLOTS = 8
 
 
-class Application:
+class Application(Listener):
     def __init__(self, fleet, machine, history, clock, work_s, sizes):
+        super().__init__()
         self.fleet, self.machine, self.history, self.clock, self.work_s = fleet, machine, history, clock, work_s
         self.service = service_of(fleet.edges.index(machine), sizes)
         self.life, self.call_count, self.slots = 0, 0, asyncio.Semaphore(SLOTS)
-        self.up = False
-        self.server = self.beating = None
-        self.connections = set()
-        self.delay_s, self.resets = 0.0, 0  # of its links
+        self.beating = None
 
     @property
     def id(self):
         return f"a-{self.machine.name}-{self.life}"
 
     async def start(self):
-        self.life, self.up = self.life + 1, True
-        self.server = await asyncio.start_server(self.serve, self.machine.host, APP_PORT, limit=1 << 20)
+        self.life += 1
+        await self.listen(self.machine.host, APP_PORT)
         self.beating = asyncio.get_running_loop().create_task(self.beat())
 
     async def stop(self):
-        self.up = False
         self.beating.cancel()
-        self.server.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
-
-    def reset_links(self):
-        """All its connections break; the application itself runs on."""
-        self.resets += 1
-        for writer in list(self.connections):
-            writer.transport.abort()
+        self.stop_listening()
 
     async def crash(self, seconds):
         await self.stop()
@@ -83,18 +73,10 @@
         if known:
             known.runs.append(run)
         try:
-            await self.work(reader, known)
+            async with self.slots:
+                await be_busy(reader, self.clock, self.work_s(known))
         finally:
             run.ended_at = self.clock()
-            run.broken_off_by_database = not self.up or self.resets != resets
+            run.broken_off_by_database = self.has_broken_off_since(resets)
         return answer_bytes(200, f"for {name}", [f"X-Pebblespindle-Request-Id: {name}",
                                                  f"X-Pebblespindle-Response-Seal: seal.{name}"])
-
-    async def work(self, reader, known):
-        """Takes a slot for a while; a connection that closes ends the work."""
-        async with self.slots:
-            end = self.clock() + self.work_s(known) * 1000
-            while self.clock() < end and not reader.at_eof():
-                await asyncio.sleep(min(0.02, max(0.001, (end - self.clock()) / 1000)))
-        if reader.at_eof():
-            raise ConnectionResetError
--- a/tools/soaklib/databases.py
+++ b/tools/soaklib/databases.py
@@ -4,6 +4,7 @@
 
 from soaklib.history import Commit, Draining, Promotion, Run
 from soaklib.http_calls import call_within
+from soaklib.listener import Listener, be_busy
 from soaklib.machines import CONTROL_PORT, DATABASE_PORT, ZONES
 
 HEARTBEAT_S = 1.0
@@ -75,39 +76,28 @@
     return length
 
 
-class Database:
+class Database(Listener):
     def __init__(self, service, fleet, number, database_id, primary):
+        super().__init__()
         self.service, self.fleet, self.number, self.id, self.primary = service, fleet, number, database_id, primary
         self.host, self.zone = fleet.database_host(number), ZONES[number % 3]
         self.term, self.held, self.log, self.applied = service.term, 0, [], 0
-        self.up = self.paused = self.deaf = self.draining = False
-        self.connections, self.slots, self.call_count, self.running = set(), asyncio.Semaphore(SLOTS), 0, 0
-        self.server = None
+        self.paused = self.deaf = self.draining = False
+        self.slots, self.call_count, self.running = asyncio.Semaphore(SLOTS), 0, 0
         self.beating = None
-        self.delay_s, self.resets = 0.0, 0  # of its links
 
     # --- life
 
     async def start(self):
-        self.up, self.paused = True, False
-        self.server = await asyncio.start_server(self.serve, self.host, DATABASE_PORT, limit=1 << 21)
+        self.paused = False
+        await self.listen(self.host, DATABASE_PORT)
         if not self.primary and self.service.leader():
             self.catch_up(self.service.leader())
         self.beating = asyncio.get_running_loop().create_task(self.beat())
 
     async def stop(self):
-        self.up = False
         self.beating.cancel()
-        self.server.close()
-        for writer in list(self.connections):
-            writer.transport.abort()
-        self.connections.clear()
-
-    def reset_links(self):
-        """All its connections break; the database itself runs on."""
-        self.resets += 1
-        for writer in list(self.connections):
-            writer.transport.abort()
+        self.stop_listening()
 
     async def crash(self, seconds):
         await self.stop()
@@ -309,24 +299,16 @@
             async with database.slots:
                 database.running += 1
                 try:
-                    await self.be_busy(database.service.work_s(known))
+                    await be_busy(self.reader, database.service.clock, database.service.work_s(known))
                     stamp = await self.effect(request, verb)
                 finally:
                     database.running -= 1
         finally:
             run.ended_at = database.service.clock()
-            run.broken_off_by_database = not database.up or database.resets != resets
+            run.broken_off_by_database = database.has_broken_off_since(resets)
         row = f"DATAROW row-{request}\r\n" if verb == "FETCH" else ""
         return row, stamp
 
-    async def be_busy(self, seconds):
-        """A connection that closes ends the work."""
-        end = self.database.service.clock() + seconds * 1000
-        while (left_ms := end - self.database.service.clock()) > 0:
-            if self.reader.at_eof():
-                raise ConnectionResetError
-            await asyncio.sleep(min(0.02, left_ms / 1000))
-
     async def effect(self, request, verb):
         database = self.database
         if not database.up:
--- /dev/null
+++ b/tools/soaklib/listener.py
@@ -0,0 +1,42 @@
+"""What stand-ins for databases share: a listening socket, its connections, and the troubles of these."""
+import asyncio
+
+WORK_STEP_S = 0.02
+
+
+class Listener:
+    def __init__(self):
+        self.up = False
+        self.server, self.connections = None, set()
+        self.delay_s, self.resets = 0.0, 0  # of its links
+
+    async def listen(self, host, port):
+        self.up = True
+        self.server = await asyncio.start_server(self.serve, host, port, limit=1 << 21)
+
+    def stop_listening(self):
+        self.up = False
+        self.server.close()
+        self.abort_connections()
+
+    def reset_links(self):
+        """All its connections break; it runs on."""
+        self.resets += 1
+        self.abort_connections()
+
+    def abort_connections(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.connections.clear()
+
+    def has_broken_off_since(self, resets):
+        return not self.up or self.resets != resets
+
+
+async def be_busy(reader, clock, seconds):
+    """Works for a while; a connection that closes ends the work."""
+    end = clock() + seconds * 1000
+    while (left_ms := end - clock()) > 0:
+        if reader.at_eof():
+            raise ConnectionResetError
+        await asyncio.sleep(min(WORK_STEP_S, left_ms / 1000))
--- a/tools/upgrade_run.py
+++ b/tools/upgrade_run.py
@@ -19,6 +19,7 @@
 import time
 
 from scale_run import call, configuration, start_cores
+from soaklib.http_calls import call as http_call
 
 CONTROL_PORT = 7500
 SERVICES = 3
@@ -31,11 +32,8 @@
 
 
 async def get(host, path):
-    reader, writer = await asyncio.open_connection(host, CONTROL_PORT, limit=1 << 24)
-    writer.write(f"GET {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n".encode())
-    text = await reader.read()
-    writer.close()
-    return text.split(b"\r\n\r\n", 1)[1].decode() if b" 200 " in text.split(b"\r\n")[0] else None
+    status, body = await http_call(host, CONTROL_PORT, "GET", path)
+    return body if status == 200 else None
 
 
 class Fleet:
