--- a/review/standins-2/departed.cc
+++ b/review/standins-2/departed.cc
@@ -16,6 +16,9 @@
     stopping_ = true;
     if (thread_.joinable()) thread_.join();
   }
+  void record() const {
+    for (auto& line : calls_) keep(line);
+  }
   std::map<std::string, double> acknowledged() {
     std::lock_guard<std::mutex> lock(mutex_);
     return acknowledged_;
@@ -37,10 +40,16 @@
         std::snprintf(id, sizeof id, "%08x%08x", number_ + 1, ++sent_);
         session.send(std::string("QUERY ") + id + " STORE thing" + std::to_string(number_) + " v" + std::to_string(sent_) +
                      "\r\n");
-        bool success = false;
+        const double sent_at = now_ms();
+      std::string answer;
+      bool success = false;
         int got = 0;
-        while ((got = session.read(line, 2500)) == 1 && line.rfind("IDLE", 0) != 0)
+        while ((got = session.read(line, 2500)) == 1 && line.rfind("IDLE", 0) != 0) {
+          answer = line;
           if (line.rfind("COMPLETE", 0) == 0) success = true;
+        }
+        calls_.push_back("sent at " + std::to_string(sent_at) + " ms by client " + std::to_string(number_) + ": " + id +
+                         " STORE; answered at " + std::to_string(now_ms()) + " ms: " + (got == 1 ? answer : "nothing whole"));
         if (got != 1) break;
         if (success) {
           std::lock_guard<std::mutex> lock(mutex_);
@@ -56,6 +65,7 @@
   std::atomic<int> sent_{0};
   std::mutex mutex_;
   std::map<std::string, double> acknowledged_;
+  std::vector<std::string> calls_;  // of the thread, until it has ended
   std::thread thread_;
 };
 
@@ -113,6 +123,8 @@
   databases.crash(1);
   sleep_ms(6000);
   for (auto& writer : writers) writer->stop();
+  for (auto& writer : writers) writer->record();
+  databases.record_runs();
   note("after:" + databases.describe());
 
   std::size_t acknowledged = 0, lost = 0;
--- a/review/standins-2/handover.cc
+++ b/review/standins-2/handover.cc
@@ -50,6 +50,9 @@
     stopping_ = true;
     if (thread_.joinable()) thread_.join();
   }
+  void record() const {
+    for (auto& line : calls_) keep(line);
+  }
   std::map<std::string, double> acknowledged() {
     std::lock_guard<std::mutex> lock(mutex_);
     return acknowledged_;
@@ -66,10 +69,16 @@
       char id[32];
       std::snprintf(id, sizeof id, "%08x%08x", number_ + 1, sent);
       session.send(std::string("QUERY ") + id + " STORE thing v" + std::to_string(sent) + "\r\n");
+      const double sent_at = now_ms();
+      std::string answer;
       bool success = false;
       int got = 0;
-      while ((got = session.read(line, 2500)) == 1 && line.rfind("IDLE", 0) != 0)
+      while ((got = session.read(line, 2500)) == 1 && line.rfind("IDLE", 0) != 0) {
+        answer = line;
         if (line.rfind("COMPLETE", 0) == 0) success = true;
+      }
+      calls_.push_back("sent at " + std::to_string(sent_at) + " ms by client " + std::to_string(number_) + ": " + id +
+                       " STORE; answered at " + std::to_string(now_ms()) + " ms: " + (got == 1 ? answer : "nothing whole"));
       if (got == 1 && success) {
         std::lock_guard<std::mutex> lock(mutex_);
         acknowledged_[id] = now_ms();
@@ -83,6 +92,7 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::map<std::string, double> acknowledged_;
+  std::vector<std::string> calls_;  // of the thread, until it has ended
   std::thread thread_;
 };
 
@@ -162,6 +172,8 @@
     lost = count_lost(false);
   }
   for (auto& writer : writers) writer->stop();
+  for (auto& writer : writers) writer->record();
+  databases.record_runs();
   lost = count_lost(true);
   std::size_t acknowledged = 0;
   for (auto& writer : writers) acknowledged += writer->acknowledged().size();
--- a/review/standins-2/replicas.h
+++ b/review/standins-2/replicas.h
@@ -146,6 +146,11 @@
     std::lock_guard<std::mutex> lock(mutex_);
     return promotions_;
   }
+  // What the databases ran for clients, as they read it: to the record, at the end of a run.
+  void record_runs() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& line : runs_) keep(line);
+  }
   std::string describe() {
     std::lock_guard<std::mutex> lock(mutex_);
     std::string text;
@@ -365,6 +370,7 @@
       }
       if (words.empty()) return "STMTERR MALFORMED empty\r\n";
       const std::string& verb = words[0];
+      if (id != "-") runs_.push_back("run at " + std::to_string(now_ms()) + " ms by " + instance + ": " + id + " " + text);
       if (id == "-") {
         if (verb == "BEGIN") {
           if (words.size() == 1 && !one.primary) return "STMTERR READONLY " + instance + "\r\n";
@@ -471,6 +477,7 @@
   std::vector<std::thread> threads_, serving_;
   std::vector<Database> databases_;
   std::vector<Promotion> promotions_;
+  std::vector<std::string> runs_;
 };
 
 }  // namespace rig
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -59,6 +59,12 @@
     }
 }
 
+// To the record alone.
+inline void keep(const std::string& text) {
+  std::lock_guard<std::mutex> lock(record_mutex);
+  if (record_file) std::fprintf(record_file, "%s\n", text.c_str());
+}
+
 inline bool trouble() {
   const char* value = std::getenv("TROUBLE");
   return !value || std::string(value) != "0";
