Wire: only CR LF ends a message of clients and databases

A row with a line feed is read as several lines of an answer, and the read fails.

Cause: LineConnection ended a line at each LF, for the wire of clients and databases as well as for the links between our own processes. On those LF is right, since JSON escapes it; the wire ends a message with CR LF, and its last field may hold a CR or an LF.

Change: bytes are divided into messages in a module of its own without I/O (net/framing.h): bytes, LF lines, CR LF lines, or a length before each message. There is no default: each connection names its framing. Settled for all twelve places that open or accept one: clients and databases CR LF, agent/proxy/controller links LF, sidecar links a length, HTTP bytes. What a client sends now reaches its database whole, and rows the client.

Tests: with the former rule put back Framing.ALineFeedOrACarriageReturnByItselfIsDataOfAMessage, LineConnectionEnd.ALineFeedInAMessageIsData, both PoolerWire tests and Fuzz.LineConnectionDeliversTheMessagesThatWereSent fail. The fuzz test of LineConnection took the old rule for granted (it removed line feeds and sent LF): it now sends every byte but CR LF and wants the same bytes back.

--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -119,7 +119,7 @@
   if (candidates_.count(host)) return;
   candidates_[host].since = loop_.now();
   LineConnection::connect(loop_.io(), {host, settings_.internal_port_first}, kControllerConnectMs,
-                          kMaxLinkBytes,
+                          Framing::kLfLines, kMaxLinkBytes,
                           [this, host](const LineConnection::Ptr& connection, const asio::error_code&) {
                             on_connected(host, connection);
                           });
@@ -216,7 +216,7 @@
 // ------------------------------------------------------------------------------------------------
 
 void Agent::accept_proxy(asio::ip::tcp::socket socket) {
-  auto connection = std::make_shared<LineConnection>(std::move(socket), kMaxLinkBytes);
+  auto connection = std::make_shared<LineConnection>(std::move(socket), Framing::kLfLines, kMaxLinkBytes);
   if (proxy_) proxy_->close();
   proxy_ = connection;
   connection->start({[this, connection](std::string_view line) {
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -237,7 +237,7 @@
 void Controller::accept(asio::ip::tcp::socket socket) {
   set_silence_limit(socket, replication::kPeerTimeoutMs * 3);
   auto link = std::make_shared<InboundLink>();
-  link->connection = std::make_shared<LineConnection>(std::move(socket), kMaxLinkBytes);
+  link->connection = std::make_shared<LineConnection>(std::move(socket), Framing::kLfLines, kMaxLinkBytes);
   links_.insert(link);
   link->connection->start({[this, link](std::string_view line) { on_line(link, line); },
                            [this, link](LineConnection::End end) {
--- a/src/controller/database_client.cc
+++ b/src/controller/database_client.cc
@@ -40,7 +40,7 @@
 
 void DatabaseClient::connect(const Instance& to, const LinePtr& line) {
   LineConnection::connect(
-      loop_.io(), to.address, kInfoTimeoutMs, kMaxMessageBytes,
+      loop_.io(), to.address, kInfoTimeoutMs, Framing::kCrLfLines, kMaxMessageBytes,
       [this, to, line](LineConnection::Ptr conn, const asio::error_code& ec) {
         if (line->calls.empty()) {  // given up meanwhile
           if (conn) conn->close();
--- a/src/controller/peer_links.cc
+++ b/src/controller/peer_links.cc
@@ -22,7 +22,7 @@
   Peer& peer = peers_[host];
   peer.connecting = true;
   peer.next_attempt_at = loop_.now() + kReconnectMs;
-  LineConnection::connect(loop_.io(), {host, port_}, kControllerConnectMs, kMaxLinkBytes,
+  LineConnection::connect(loop_.io(), {host, port_}, kControllerConnectMs, Framing::kLfLines, kMaxLinkBytes,
                           [this, host](const LineConnection::Ptr& connection, const asio::error_code&) {
                             on_connected(host, connection);
                           });
--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -14,19 +14,19 @@
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
-LineConnection::LineConnection(tcp::socket socket, std::size_t max_line, Kind kind)
-    : socket_(std::move(socket)), max_line_(max_line), kind_(kind) {
+LineConnection::LineConnection(tcp::socket socket, Framing framing, std::size_t max_item_bytes)
+    : socket_(std::move(socket)), decoder_(framing, max_item_bytes) {
   asio::error_code ignored;
   socket_.non_blocking(true, ignored);
   socket_.set_option(tcp::no_delay(true), ignored);
 }
 
-void LineConnection::connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms,
-                             std::size_t max_line, std::function<void(Ptr, const asio::error_code&)> done,
-                             Kind kind) {
+void LineConnection::connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, Framing framing,
+                             std::size_t max_item_bytes,
+                             std::function<void(Ptr, const asio::error_code&)> done) {
   asio::error_code ec;
   auto address = asio::ip::make_address(to.host, ec);
-  auto conn = std::make_shared<LineConnection>(tcp::socket(io), max_line, kind);
+  auto conn = std::make_shared<LineConnection>(tcp::socket(io), framing, max_item_bytes);
   if (!ec) conn->socket_.open(tcp::v4(), ec);
   if (ec) {
     asio::post(io, [done, ec] { done(nullptr, ec); });
@@ -80,7 +80,6 @@
   in_.clear();
   std::size_t from = 0;
   if (!hand_on(joined, from)) return;
-  if (joined.size() - from > max_line_ + 4) return end(End::kTooLong);
   if (from < joined.size()) {
     in_.assign(joined, from);
   } else {
@@ -92,28 +91,16 @@
 
 // Hands on what is complete; false when the connection has ended meanwhile.
 bool LineConnection::hand_on(std::string_view joined, std::size_t& from) {
-  if (kind_ == Kind::kBytes) {
-    from = joined.size();
-    h_.on_line(joined);
-    return open_;
-  }
+  std::string_view item;
   for (;;) {
-    std::string_view item;
-    if (kind_ == Kind::kFrames) {
-      if (joined.size() - from < 4) return true;
-      std::size_t n = 0;
-      for (std::size_t i = 0; i < 4; ++i) n = n << 8 | static_cast<unsigned char>(joined[from + i]);
-      if (n > max_line_) return end(End::kTooLong), false;
-      if (joined.size() - from < 4 + n) return true;
-      item = joined.substr(from + 4, n);
-      from += 4 + n;
-    } else {
-      auto nl = joined.find('\n', from);
-      if (nl == std::string_view::npos) return true;
-      item = joined.substr(from, nl - from);
-      from = nl + 1;
-      if (item.size() > max_line_) return end(End::kTooLong), false;
-      if (!item.empty() && item.back() == '\r') item.remove_suffix(1);
+    switch (decoder_.next(joined, from, item)) {
+      case FrameDecoder::Outcome::kIncomplete:
+        return true;
+      case FrameDecoder::Outcome::kTooLong:
+        end(End::kTooLong);
+        return false;
+      case FrameDecoder::Outcome::kItem:
+        break;
     }
     h_.on_line(item);
     if (!open_) return false;
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -1,5 +1,5 @@
-// A TCP connection that carries lines, frames with their length before them, or bytes as they come. Reads and
-// writes are buffered; a slow reader stops its writer.
+// A TCP connection that receives items: lines, messages with their length before them, or bytes as they come
+// (net/framing.h). Reads and writes are buffered; a slow reader stops its writer.
 #pragma once
 #include <asio.hpp>
 #include <functional>
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "net/framing.h"
 #include "settings/settings.h"
 
 namespace pebblespindle {
@@ -15,17 +16,17 @@
  public:
   using Ptr = std::shared_ptr<LineConnection>;
   enum class End { kClosed, kReset, kTooLong };
-  enum class Kind { kLines, kFrames, kBytes };
   struct Handlers {
-    std::function<void(std::string_view line)> on_line;  // without its CR LF; or a frame, or bytes
+    std::function<void(std::string_view item)> on_line;  // without its terminator or length
     std::function<void(End)> on_end;                     // once, unless closed from this side
     std::function<void()> on_batch;                      // after the lines of one read
     std::function<void()> on_drained = {};               // all that was sent is written; or it was the last
   };
 
-  LineConnection(asio::ip::tcp::socket socket, std::size_t max_line, Kind kind = Kind::kLines);
-  static void connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, std::size_t max_line,
-                      std::function<void(Ptr, const asio::error_code&)> done, Kind kind = Kind::kLines);
+  // max_item_bytes: a longer item ends the connection with End::kTooLong.
+  LineConnection(asio::ip::tcp::socket socket, Framing framing, std::size_t max_item_bytes);
+  static void connect(asio::io_context& io, const Endpoint& to, Millis timeout_ms, Framing framing,
+                      std::size_t max_item_bytes, std::function<void(Ptr, const asio::error_code&)> done);
 
   void start(Handlers handlers);
   void send(std::string_view bytes);
@@ -54,8 +55,7 @@
   void await_peer_end();
   void end(End why);
   asio::ip::tcp::socket socket_;
-  std::size_t max_line_;
-  Kind kind_;
+  FrameDecoder decoder_;
   Handlers h_;
   std::string in_, out_, flight_;
   bool open_ = true, started_ = false, reading_ = false, writing_ = false, flush_posted_ = false;
--- a/src/pooler/pooler.cc
+++ b/src/pooler/pooler.cc
@@ -92,7 +92,7 @@
   }
   void open_connection(ConnectionId id, const Endpoint& at) override {
     LineConnection::connect(
-        loop_.io(), at, kServerConnectMs, kMaxMessageBytes,
+        loop_.io(), at, kServerConnectMs, Framing::kCrLfLines, kMaxMessageBytes,
         [this, id](LineConnection::Ptr conn, const asio::error_code& ec) {
           update_time();
           opening_.erase(id);
@@ -179,7 +179,7 @@
     update_time();
     set_silence_limit(socket, kServerConnectMs * 10);
     SessionId id = ++last_session_;
-    auto conn = std::make_shared<LineConnection>(std::move(socket), kMaxMessageBytes);
+    auto conn = std::make_shared<LineConnection>(std::move(socket), Framing::kCrLfLines, kMaxMessageBytes);
     clients_[id] = conn;
     engine_.on_client_connected(id);
     conn->start({[this, id](std::string_view line) {
--- a/src/proxy/agent_link.h
+++ b/src/proxy/agent_link.h
@@ -16,7 +16,7 @@
   AgentLink(EventLoop& loop, Endpoint at, Handlers h) : loop_(loop), at_(std::move(at)), h_(std::move(h)) {}
 
   void start() {
-    LineConnection::connect(loop_.io(), at_, kServerConnectMs, kMaxLinkBytes,
+    LineConnection::connect(loop_.io(), at_, kServerConnectMs, Framing::kLfLines, kMaxLinkBytes,
                             [this](LineConnection::Ptr conn, const asio::error_code&) {
                               if (!conn) return again();
                               conn_ = conn;
--- a/src/sidecar/client_listener.cc
+++ b/src/sidecar/client_listener.cc
@@ -17,8 +17,7 @@
 
 void ClientListener::accept(asio::ip::tcp::socket socket) {
   auto client = std::make_shared<Client>(callbacks_.limits());
-  client->conn =
-      std::make_shared<LineConnection>(std::move(socket), kMaxCallBytes, LineConnection::Kind::kBytes);
+  client->conn = std::make_shared<LineConnection>(std::move(socket), Framing::kBytes, kMaxCallBytes);
   if (draining_) client->pipeline.drain();
   clients_[client.get()] = client;
   client->conn->start({[this, client](std::string_view bytes) { on_read(client, bytes); },
--- a/src/sidecar/connections.cc
+++ b/src/sidecar/connections.cc
@@ -15,8 +15,7 @@
 void PeerLinks::accept(asio::ip::tcp::socket socket) {
   set_silence_limit(socket, kPeerLinkTimeoutMs);
   LinkId id = ++last_link_;
-  auto conn =
-      std::make_shared<LineConnection>(std::move(socket), kMaxFrameBytes, LineConnection::Kind::kFrames);
+  auto conn = std::make_shared<LineConnection>(std::move(socket), Framing::kLengthPrefix, kMaxFrameBytes);
   accepted_links_[id] = conn;
   if (shutting_down_) conn->send_frame(encode_frame({{"t", kShutdownFrame}}));
   conn->start({[this, id, conn](std::string_view frame) {
@@ -79,7 +78,7 @@
 void PeerLinks::open_link(const Endpoint& to) {
   peers_[to].connecting = true;
   LineConnection::connect(
-      loop_.io(), to, kPeerConnectTimeoutMs, kMaxFrameBytes,
+      loop_.io(), to, kPeerConnectTimeoutMs, Framing::kLengthPrefix, kMaxFrameBytes,
       [this, to](LineConnection::Ptr conn, const asio::error_code&) {
         Peer& peer = peers_[to];
         peer.connecting = false;
@@ -114,8 +113,7 @@
                   clamped_field(queued.frame, key, 0, 0, kMaxWaitMs) - (loop_.now() - queued.queued_at);
           conn->send_frame(encode_frame(queued.frame));
         }
-      },
-      LineConnection::Kind::kFrames);
+      });
 }
 
 void AppConnections::open(ConnId id) {
@@ -124,31 +122,29 @@
     return;
   }
   opening_.insert(id);
-  LineConnection::connect(
-      loop_.io(), *app_, kAppConnectTimeoutMs, kMaxCallBytes,
-      [this, id](LineConnection::Ptr conn, const asio::error_code& ec) {
-        if (opening_.erase(id) == 0) {
-          if (conn) conn->close();
-          return;
-        }
-        if (!conn) {
-          callbacks_.on_down(id,
-                             ec == asio::error::connection_refused || ec == asio::error::connection_reset);
-          return loop_.rearm();
-        }
-        auto connection = std::make_shared<Conn>();
-        connection->conn = conn;
-        connections_[id] = connection;
-        conn->start({[this, id](std::string_view bytes) { read(id, bytes); },
-                     [this, id](LineConnection::End) {
-                       if (connections_.erase(id)) callbacks_.on_down(id, false);
-                       loop_.rearm();
-                     },
-                     [this] { loop_.rearm(); }});
-        callbacks_.on_up(id);
-        loop_.rearm();
-      },
-      LineConnection::Kind::kBytes);
+  LineConnection::connect(loop_.io(), *app_, kAppConnectTimeoutMs, Framing::kBytes, kMaxCallBytes,
+                          [this, id](LineConnection::Ptr conn, const asio::error_code& ec) {
+                            if (opening_.erase(id) == 0) {
+                              if (conn) conn->close();
+                              return;
+                            }
+                            if (!conn) {
+                              callbacks_.on_down(id, ec == asio::error::connection_refused ||
+                                                         ec == asio::error::connection_reset);
+                              return loop_.rearm();
+                            }
+                            auto connection = std::make_shared<Conn>();
+                            connection->conn = conn;
+                            connections_[id] = connection;
+                            conn->start({[this, id](std::string_view bytes) { read(id, bytes); },
+                                         [this, id](LineConnection::End) {
+                                           if (connections_.erase(id)) callbacks_.on_down(id, false);
+                                           loop_.rearm();
+                                         },
+                                         [this] { loop_.rearm(); }});
+                            callbacks_.on_up(id);
+                            loop_.rearm();
+                          });
 }
 
 void AppConnections::send(ConnId id, const Call& call) {
--- a/tests/net/line_connection_test.cc
+++ b/tests/net/line_connection_test.cc
@@ -16,8 +16,10 @@
   LineConnectionEnd() {
     tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     client.connect(acceptor.local_endpoint());
-    connection = std::make_shared<LineConnection>(acceptor.accept(), kMaxMessageBytes);
-    connection->start({[this](std::string_view) { ++lines; }, [this](LineConnection::End) { ++ends; }, {}});
+    connection = std::make_shared<LineConnection>(acceptor.accept(), Framing::kCrLfLines, kMaxMessageBytes);
+    connection->start({[this](std::string_view line) { lines.emplace_back(line); },
+                       [this](LineConnection::End) { ++ends; },
+                       {}});
   }
   void run(Millis ms) {
     io.restart();
@@ -40,9 +42,18 @@
   asio::io_context io;
   tcp::socket client{io};
   LineConnection::Ptr connection;
-  int lines = 0, ends = 0;
+  std::vector<std::string> lines;
+  int ends = 0;
 };
 
+// Guards against a statement smuggled inside the data of another one, over a real socket.
+TEST_F(LineConnectionEnd, ALineFeedInAMessageIsData) {
+  const std::string message = "QUERY a2 STORE note tower 7 inspected\nQUERY ff STORE balance 0";
+  asio::write(client, asio::buffer(message + "\r\nQUERY a3 FETCH k\r\n"));
+  run(20);
+  EXPECT_EQ(lines, (std::vector<std::string>{message, "QUERY a3 FETCH k"}));
+}
+
 constexpr std::size_t kAnswerBytes = 8 << 20;  // more than the kernel takes at once
 
 // Guards against an answer lost to a reset: its client had sent on, and the connection was closed unread.
@@ -54,7 +65,7 @@
   bool reset = false;
   EXPECT_EQ(drain(reset), kAnswerBytes);
   EXPECT_FALSE(reset);
-  EXPECT_EQ(lines, 0) << "what comes after the end is not read";
+  EXPECT_TRUE(lines.empty()) << "what comes after the end is not read";
   client.close();
   run(kLingerMs + 20);
   EXPECT_FALSE(connection->open());
--- a/tests/pooler/engine_fuzz_test.cc
+++ b/tests/pooler/engine_fuzz_test.cc
@@ -1,73 +1,17 @@
 // Random and mutated lines at every parser of the pooler: no crash, bounded
 // memory, and no answer to the wrong caller. PEBBLESPINDLE_FUZZ multiplies the number of rounds.
-#include <cstdlib>
-#include <random>
-
 #include "agent/relay.h"
 #include "net/line_connection.h"
 #include "pooler/control_feed.h"
+#include "pooler/input_generator.h"
 #include "pooler/manual_databases.h"
 
 namespace pebblespindle::test {
 namespace {
 
-int rounds(int default_rounds) {
-  const char* factor = std::getenv("PEBBLESPINDLE_FUZZ");
-  return factor ? default_rounds * std::max(1, std::atoi(factor)) : default_rounds;
-}
-
-struct InputGenerator {
-  explicit InputGenerator(std::uint32_t seed) : rng(seed) {}
-  int pick(int n) { return int(rng() % std::uint32_t(n)); }
-  char any() {
-    switch (pick(4)) {
-      case 0:
-        return ' ';
-      case 1:
-        return char('A' + pick(26));
-      case 2:
-        return char('0' + pick(10));
-      default:
-        return char(pick(256));
-    }
-  }
-  std::string random(int max_size) {
-    std::string text;
-    for (int n = pick(max_size + 1); n > 0; --n) text += any();
-    return text;
-  }
-  // Returns the text with random bytes inserted, erased, replaced or repeated, or with its end cut off.
-  std::string mutated(std::string text) {
-    for (int n = 1 + pick(4); n > 0; --n) {
-      std::size_t at = text.empty() ? 0 : std::size_t(pick(int(text.size())));
-      switch (pick(6)) {
-        case 0:
-          text.insert(at, 1, any());
-          break;
-        case 1:
-          text.erase(at, std::size_t(1 + pick(4)));
-          break;
-        case 2:
-          if (!text.empty()) text[at] = any();
-          break;
-        case 3:
-          text.resize(at);
-          break;
-        case 4:
-          text.insert(at, text.substr(at, std::size_t(pick(20))));
-          break;
-        default:
-          text.insert(at, std::string(std::size_t(pick(40)), any()));
-      }
-    }
-    return text;
-  }
-  std::mt19937 rng;
-};
-
-std::string one_line(std::string text) {  // as a LineConnection delivers it
-  std::erase(text, '\n');
-  if (!text.empty() && text.back() == '\r') text.pop_back();
+// Without what would end a message; all other bytes may stand in one.
+std::string one_message(std::string text) {
+  for (std::size_t at; (at = text.find("\r\n")) != std::string::npos;) text.erase(at, 1);
   return text;
 }
 
@@ -77,7 +21,7 @@
                         "PREPARE n STORE q",       "CONFIGURE a b", "I 3.17",
                         "primary 3 3.9 0 12 2 17", "RELEASE n",     "99999999999999999999.1",
                         "1.18446744073709551615"};
-  for (int i = 0; i < rounds(20000); ++i) {
+  for (int i = 0; i < fuzz_rounds(20000); ++i) {
     std::string line = generator.pick(3) ? generator.mutated(good[generator.pick(int(std::size(good)))])
                                          : generator.random(60);
     auto inside = [&](std::string_view part) {
@@ -99,30 +43,29 @@
   }
 }
 
-// The lines are the same however the stream is split into pieces. A line that is too long ends the
+// The messages are the same however the stream is split into pieces. One that is too long ends the
 // connection.
-TEST(Fuzz, LineConnectionDeliversTheLinesThatWereSent) {
+TEST(Fuzz, LineConnectionDeliversTheMessagesThatWereSent) {
   InputGenerator generator(2);
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
   constexpr std::size_t kMaxLineBytes = 64;
-  for (int i = 0; i < rounds(150); ++i) {
+  for (int i = 0; i < fuzz_rounds(150); ++i) {
     std::string stream;
     std::vector<std::string> wanted;
     bool too_long = false;
     for (int n = generator.pick(60); n > 0; --n) {
-      std::string raw = generator.random(generator.pick(40) ? 50 : 90);
-      std::erase(raw, '\n');
-      stream += raw + "\n";
+      const std::string raw = one_message(generator.random(generator.pick(40) ? 50 : 90));
+      stream += raw + "\r\n";
       too_long = too_long || raw.size() > kMaxLineBytes;
-      if (!too_long) wanted.push_back(one_line(raw));
+      if (!too_long) wanted.push_back(raw);
     }
-    const std::string rest = one_line(generator.random(40));  // a line that is never ended
+    const std::string rest = one_message(generator.random(40));  // never ended
     stream += rest;
     asio::ip::tcp::socket far(io), near(io);
     far.connect(acceptor.local_endpoint());
     acceptor.accept(near);
-    auto connection = std::make_shared<LineConnection>(std::move(near), kMaxLineBytes);
+    auto connection = std::make_shared<LineConnection>(std::move(near), Framing::kCrLfLines, kMaxLineBytes);
     std::vector<std::string> got;
     std::optional<LineConnection::End> end;
     connection->start({[&](std::string_view line) { got.emplace_back(line); },
@@ -193,7 +136,7 @@
                         "QUERY - RESET",
                         "QUERY - FETCH a",
                         "QUERY x1 WAITFOR 1.1 FETCH a"};
-  for (int i = 0; i < rounds(60); ++i) {
+  for (int i = 0; i < fuzz_rounds(60); ++i) {
     InputGenerator generator(std::uint32_t(1000 + i));
     ManualDatabases databases(16);
     databases.feed();
@@ -212,8 +155,8 @@
       for (int sent = 0; sent < lines && !databases.engine.has_backlog(fuzzing_session); ++sent)
         databases.send_line(
             fuzzing_session,
-            one_line(generator.pick(5) ? generator.mutated(good[generator.pick(int(std::size(good)))])
-                                       : generator.random(200)));
+            one_message(generator.pick(5) ? generator.mutated(good[generator.pick(int(std::size(good)))])
+                                          : generator.random(200)));
       if (generator.pick(30) == 0)
         databases.send_line(fuzzing_session, "QUERY z STORE k " + std::string(100000, 'x'));
       const std::string id = "mine" + std::to_string(n);
@@ -256,7 +199,7 @@
 // after its statement on the connection to which the statement was sent.
 TEST(Fuzz, OutputOfADatabaseReachesOnlyTheClientThatAsked) {
   long answers = 0, served = 0;
-  for (int i = 0; i < rounds(60); ++i) {
+  for (int i = 0; i < fuzz_rounds(60); ++i) {
     InputGenerator generator(std::uint32_t(5000 + i));
     RecordingDatabases databases(9);
     databases.feed();
@@ -302,9 +245,9 @@
         std::vector<std::string> lines = {"DATAROW " + tag, "COMPLETE " + tag, "IDLE I 1.2"};
         if (generator.pick(4) == 0)
           lines[std::size_t(generator.pick(3))] =
-              one_line(generator.mutated(lines[std::size_t(generator.pick(3))]));
+              one_message(generator.mutated(lines[std::size_t(generator.pick(3))]));
         if (generator.pick(8) == 0)
-          lines.insert(lines.begin() + generator.pick(4), one_line(generator.random(40)));
+          lines.insert(lines.begin() + generator.pick(4), one_message(generator.random(40)));
         if (generator.pick(8) == 0) lines.push_back(lines[std::size_t(generator.pick(int(lines.size())))]);
         if (generator.pick(8) == 0)
           lines.insert(lines.end(), {"DATAROW " + tag, "COMPLETE " + tag, "IDLE I 1.2"});
@@ -355,7 +298,7 @@
     std::vector<std::string> proxy;
     bool left = false;
   };
-  for (int i = 0; i < rounds(40); ++i) {
+  for (int i = 0; i < fuzz_rounds(40); ++i) {
     InputGenerator generator(std::uint32_t(9000 + i));
     RecordingPort port;
     Relay relay(port, "n", "z");
@@ -409,7 +352,7 @@
         message[fields[generator.pick(int(std::size(fields)))]] = random_value();
       std::string line = message.dump(-1, ' ', false, Json::error_handler_t::replace);
       if (generator.pick(6) == 0)
-        line = generator.pick(3) ? one_line(generator.mutated(line)) : generator.random(80);
+        line = generator.pick(3) ? one_message(generator.mutated(line)) : generator.random(80);
       bytes += line.size();
       control_feed.handle_line(databases.now, line);
       switch (generator.pick(8)) {
--- a/tests/pooler/manual_databases.h
+++ b/tests/pooler/manual_databases.h
@@ -71,8 +71,7 @@
         } else if (statement.starts_with("QUERY - ") && !answers_setup_by_hand) {
           connection.pending.erase(connection.pending.begin());
           engine.on_database_line(id, "COMPLETE -");
-          engine.on_database_line(id,
-                                  statement.find("BEGIN") == std::string::npos ? "IDLE I 1.1" : "IDLE T 1.1");
+          engine.on_database_line(id, begins_transaction(statement) ? "IDLE T 1.1" : "IDLE I 1.1");
           engine.on_database_read_end(id);
         } else {
           continue;
@@ -82,6 +81,9 @@
       }
     }
   }
+  static bool begins_transaction(const std::string& setup_statement) {
+    return setup_statement.starts_with("QUERY - BEGIN") || setup_statement.starts_with("QUERY - WAITFOR");
+  }
   // Answers the first client statement that waits at a database and returns that database's port; 0 if none
   // waits.
   int answer(const std::string& body) {
--- /dev/null
+++ b/tests/pooler/wire_bytes_test.cc
@@ -0,0 +1,101 @@
+// Bytes of the wire through the pooler: what a client sends reaches its database, and what a database answers
+// reaches the client, with equal bytes or not at all. Seeded; PEBBLESPINDLE_FUZZ multiplies the number of
+// rounds.
+#include "net/constants.h"
+#include "net/framing.h"
+#include "pooler/input_generator.h"
+#include "pooler/manual_databases.h"
+
+namespace pebblespindle::test {
+namespace {
+
+const char* const kIdle = "IDLE I 1.2";
+
+// The messages that a peer reads out of these bytes, by the page: CR LF ends each.
+std::vector<std::string> messages_in(const std::string& bytes) {
+  const FrameDecoder decoder(Framing::kCrLfLines, kMaxMessageBytes);
+  std::vector<std::string> messages;
+  std::size_t from = 0;
+  std::string_view message;
+  while (decoder.next(bytes, from, message) == FrameDecoder::Outcome::kItem) messages.emplace_back(message);
+  EXPECT_EQ(from, bytes.size()) << "the end of a message is missing";
+  return messages;
+}
+
+// Databases that read what the engine sends byte by byte.
+struct WireDatabases : ManualDatabases {
+  WireDatabases() {
+    feed();
+    lease();
+    connect(kSession);
+    take_output(kSession);
+  }
+  void send_to_database(ConnectionId id, std::string bytes) override {
+    for (auto& message : messages_in(bytes)) {
+      written.push_back(message);
+      connections[id].pending.push_back(message);
+    }
+  }
+  // What a client writes, as the reader of its connection delivers it.
+  void client_writes(const std::string& bytes) {
+    for (auto& message : messages_in(bytes)) engine.on_client_line(kSession, message);
+  }
+  // What a database writes, likewise.
+  bool database_answers(const std::string& statement, const std::string& bytes) {
+    return answer_to(statement, messages_in(bytes));
+  }
+  bool has_written(const std::string& message) const {
+    return std::find(written.begin(), written.end(), message) != written.end();
+  }
+  static constexpr SessionId kSession = 1;
+};
+
+// Data that looks like messages, verbs or ends of lines, and random bytes; all but CR LF may stand in a
+// field.
+std::string any_data(InputGenerator& generator) {
+  static const char* const kHard[] = {
+      "tower 7\nQUERY ff STORE balance 0", "x\rIDLE I 9.9", "\n", "\r", "RESET", "  two  blanks  "};
+  std::string data = generator.pick(3) ? generator.random(80) : kHard[generator.pick(int(std::size(kHard)))];
+  for (std::size_t at; (at = data.find("\r\n")) != std::string::npos;) data.erase(at, 1);
+  return data.empty() ? "x" : data;
+}
+
+// Guards against statements that a database runs though no client sent them: a field's bytes became a
+// message.
+TEST(PoolerWire, AStatementReachesItsDatabaseWithEqualBytes) {
+  for (int round = 0; round < fuzz_rounds(300); ++round) {
+    InputGenerator generator{std::uint32_t(round)};
+    WireDatabases databases;
+    const std::string data = any_data(generator);
+    databases.client_writes("QUERY q1 STORE k " + data + "\r\n");
+    ASSERT_TRUE(databases.database_answers("q1", std::string("COMPLETE s\r\n") + kIdle + "\r\n")) << round;
+    EXPECT_TRUE(databases.has_written("QUERY q1 STORE k " + data)) << round;
+    databases.client_writes("QUERY q2 PREPARE n STORE " + data + "\r\nQUERY q3 EXECUTE n k " + data + "\r\n");
+    ASSERT_TRUE(databases.database_answers("q3", std::string("COMPLETE s\r\n") + kIdle + "\r\n")) << round;
+    EXPECT_TRUE(databases.has_written("QUERY - PREPARE p1 STORE " + data)) << round;
+    EXPECT_TRUE(databases.has_written("QUERY q3 EXECUTE p1 k " + data)) << round;
+    for (auto& message : databases.written)
+      EXPECT_TRUE(message.starts_with("CONNECT s ") || message.starts_with("QUERY q1 ") ||
+                  message.starts_with("QUERY q3 ") || message.starts_with("QUERY - "))
+          << round << ": " << message;
+  }
+}
+
+// Guards against rows that are read as several lines of an answer.
+TEST(PoolerWire, ARowReachesItsClientWithEqualBytes) {
+  for (int round = 0; round < fuzz_rounds(300); ++round) {
+    InputGenerator generator{std::uint32_t(1000 + round)};
+    WireDatabases databases;
+    const std::string data = any_data(generator);
+    databases.client_writes("QUERY q1 FETCH k\r\n");
+    ASSERT_TRUE(databases.database_answers(
+        "q1", "DATAROW " + data + "\r\nDATAROW \r\nCOMPLETE s\r\n" + kIdle + "\r\n"))
+        << round;
+    EXPECT_EQ(databases.take_output(WireDatabases::kSession),
+              "DATAROW " + data + "\r\nDATAROW \r\nCOMPLETE s\r\nIDLE I -\r\n")
+        << round;
+  }
+}
+
+}  // namespace
+}  // namespace pebblespindle::test
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -7,7 +7,7 @@
 
 from soaklib import checks  # noqa: E402
 from soaklib.history import (Change, Commit, Draining, History, ProcessEnd, Promotion, Reading, Request,  # noqa: E402
-                             ResourceSample, Run, SessionEnd, Trouble)
+                             ResourceSample, Run, SessionEnd, Trouble, UnknownStatement)
 from soaklib.failover_plan import FailoverPlayer, draw_failover_plan  # noqa: E402
 from soaklib.plan import SIZES, draw_plan  # noqa: E402
 
@@ -136,6 +136,18 @@
     def test_content(self):
         self.assert_broken(checks.check_content, history_of(request_of(wrong="the stamp of another request")))
 
+    def test_unasked(self):
+        unknown = UnknownStatement("i-1", 1, "c1.1.smuggled", "STORE 1 0")
+        self.assert_broken(checks.check_unasked, history_of(unknown_statements=[unknown]))
+        sent = "STORE 1 a\nb"
+        for text in ("STORE 1 a", "STORE 1 a b", "FETCH 1", f"WAITFOR 1.2 {sent}"):
+            changed = request_of(text=sent, runs=[Run("i-1", 1, text=text)])
+            self.assert_broken(checks.check_unasked, history_of(changed))
+        for wanted, text in ((sent, sent), ("FETCH 1", "WAITFOR 1.2 FETCH 1"), ("EXECUTE p a b", "EXECUTE p7 a b"),
+                             ("EXECUTE p a b", "WAITFOR 1.2 EXECUTE p7 a b")):
+            same = request_of(text=wanted, runs=[Run("i-1", 1, text=text)])
+            self.assert_held(checks.check_unasked, history_of(same))
+
     def test_run_twice(self):
         twice = [Commit("s", "c1.1", ["c1.1"], 1), Commit("s", "c1.1", ["c1.1"], 2)]
         self.assert_broken(checks.check_run_twice, history_of(commits=twice))
--- a/tests/soak/databases_test.py
+++ b/tests/soak/databases_test.py
@@ -9,6 +9,7 @@
 from soaklib.databases import Connection, Database, Service  # noqa: E402
 from soaklib.history import History  # noqa: E402
 from soaklib.listener import take_slot  # noqa: E402
+from soaklib.wire import read_message  # noqa: E402
 
 WORK_S = 0.01
 
@@ -63,6 +64,14 @@
         promote.cancel()
 
 
+class Messages(unittest.IsolatedAsyncioTestCase):
+    async def test_only_cr_lf_ends_a_message(self):
+        reader = asyncio.StreamReader()
+        reader.feed_data(b"QUERY a STORE 1 x\nQUERY b STORE 1 y\rz\r\nCLOSE\r\n")
+        self.assertEqual(await read_message(reader), "QUERY a STORE 1 x\nQUERY b STORE 1 y\rz")
+        self.assertEqual(await read_message(reader), "CLOSE")
+
+
 class ClosedConnections(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.slots = asyncio.Semaphore(1)
--- a/tools/soaklib/checks.py
+++ b/tools/soaklib/checks.py
@@ -31,7 +31,7 @@
 
 def check_all(history):
     checks = [check_cut_requests, check_drain, check_open_transactions, check_configuration, check_content,
-              check_run_twice, check_promises, check_acknowledged_commits, check_fencing, check_gone, check_processes,
+              check_unasked, check_run_twice, check_promises, check_acknowledged_commits, check_fencing, check_gone, check_processes,
               check_resources, check_silence, check_steps]
     return [check(history) for check in checks]
 
@@ -204,6 +204,31 @@
     return result
 
 
+def check_unasked(history):
+    """UNASKED: a database runs a statement that no client sent, or one whose text was changed."""
+    result = Result("UNASKED: statements as their clients sent them")
+    for statement in history.unknown_statements:
+        result.looked_at += 1
+        result.break_with("no client sent it", statement=asdict(statement))
+    for request in history.requests.values():
+        for run in request.runs:
+            if run.text is None:
+                continue
+            result.looked_at += 1
+            if not is_same_statement(request.text, run.text):
+                result.break_with("its text was changed", request=asdict(request))
+    return result
+
+
+def is_same_statement(sent, run):
+    """Whether a database's text is the client's: WAITFOR may stand before a read, and a prepared name may be another."""
+    if run.startswith("WAITFOR ") and sent.startswith(("FETCH ", "EXECUTE ")):
+        run = run.split(" ", 2)[2]
+    if sent.startswith("EXECUTE ") and run.startswith("EXECUTE "):
+        return sent.split(" ", 2)[2] == run.split(" ", 2)[2]
+    return sent == run
+
+
 def check_run_twice(history):
     """TWICE: for one try a write takes effect twice; a request that may not be repeated runs twice."""
     result = Result("TWICE: writes and requests run once")
--- a/tools/soaklib/databases.py
+++ b/tools/soaklib/databases.py
@@ -2,10 +2,11 @@
 import asyncio
 import json
 
-from soaklib.history import Commit, Draining, Promotion, Run
+from soaklib.history import Commit, Draining, Promotion, Run, UnknownStatement
 from soaklib.http_calls import call_within
 from soaklib.listener import Listener, be_busy, take_slot
 from soaklib.machines import CONTROL_PORT, DATABASE_PORT, ZONES
+from soaklib.wire import read_message, row_of
 
 HEARTBEAT_S = 1.0
 HEARTBEAT_ANSWER_S = 1.0
@@ -231,7 +232,7 @@
             writer.close()
 
     async def greet(self, reader, writer):
-        words = (await reader.readline()).decode().split()
+        words = (await read_message(reader)).split()
         if len(words) < 3 or words[0] != "CONNECT":
             return False
         if words[1] != self.service.name or (len(words) > 3 and words[3] != self.id):
@@ -261,8 +262,8 @@
 
     async def run(self):
         while self.database.up:
-            line = (await self.reader.readline()).decode().rstrip("\r\n")
-            if not line or line == "CLOSE":
+            line = await read_message(self.reader)
+            if line == "CLOSE":
                 return
             _, request, text = line.split(" ", 2)
             rows = ""
@@ -294,7 +295,7 @@
             verb = self.names.get(words[1], "")
             if not verb:
                 raise Refused(f"NOTFOUND {words[1]}")
-        return await self.work(request, verb)
+        return await self.work(request, verb, text)
 
     def own_statement(self, verb, words):
         database = self.database
@@ -319,13 +320,15 @@
             return f"DATAROW {database.info()}\r\n", "-"
         return "", "-"
 
-    async def work(self, request, verb):
+    async def work(self, request, verb, text):
         """A read, write or commit: takes a slot for a while, then does what it says."""
         database = self.database
-        run, resets = Run(database.id, database.service.clock()), database.resets
+        run, resets = Run(database.id, database.service.clock(), text=text), database.resets
         known = database.service.history.requests.get(request)
         if known:
             known.runs.append(run)
+        else:
+            database.service.history.unknown_statements.append(UnknownStatement(database.id, run.reached_at, request, text))
         try:
             await take_slot(database.slots, self.reader)
             database.running += 1
@@ -338,7 +341,7 @@
         finally:
             run.ended_at = database.service.clock()
             run.broken_off_by_database = database.has_broken_off_since(resets)
-        row = f"DATAROW row-{request}\r\n" if verb == "FETCH" else ""
+        row = f"DATAROW {row_of(request)}\r\n" if verb == "FETCH" else ""
         return row, stamp
 
     async def effect(self, request, verb):
--- a/tools/soaklib/history.py
+++ b/tools/soaklib/history.py
@@ -20,6 +20,16 @@
     reached_at: float
     ended_at: float | None = None
     broken_off_by_database: bool = False
+    text: str | None = None  # of a statement, as the database read it
+
+
+@dataclass
+class UnknownStatement:
+    """A statement at a database under an id that no client used."""
+    database: str
+    at: float
+    id: str
+    text: str
 
 
 @dataclass
@@ -130,6 +140,7 @@
 class History:
     bounds: Bounds = field(default_factory=Bounds)
     requests: dict = field(default_factory=dict)  # by id
+    unknown_statements: list = field(default_factory=list)
     session_ends: list = field(default_factory=list)
     troubles: list = field(default_factory=list)
     commits: list = field(default_factory=list)
--- a/tools/soaklib/sessions.py
+++ b/tools/soaklib/sessions.py
@@ -3,7 +3,7 @@
 
 from soaklib.history import Request, SessionEnd
 from soaklib.machines import FRONT_PORT
-from soaklib.wire import Wire
+from soaklib.wire import Wire, data_of, row_of
 
 GREETING_S = 2.0
 ANSWER_S = 8.0
@@ -100,7 +100,7 @@
         return f"FETCH {self.random.randrange(1000)}"
 
     def write(self):
-        return f"STORE {self.random.randrange(1000)} v{self.number}"
+        return f"STORE {self.random.randrange(1000)} {data_of(f'{self.name}.{self.number}')}"
 
     async def one(self, text):
         request = self.ask(text)
@@ -248,7 +248,7 @@
         verb = request.text.split(" ")[0]
         if verb in ("FETCH", "STORE", "COMMIT", "EXECUTE") and not stamp.endswith("." + request.id):
             request.wrong = f"the stamp of another request: {stamp}"
-        if rows and rows != [f"row-{request.id}"]:
+        if rows and rows != [row_of(request.id)]:
             request.wrong = f"the rows of another request: {rows}"
         if verb == "FETCH" and not rows:
             request.wrong = "its rows are missing"
--- a/tools/soaklib/wire.py
+++ b/tools/soaklib/wire.py
@@ -1,5 +1,29 @@
-"""A client's connection: lines as they arrive, and the moment at which it ended."""
+"""The wire of clients and databases: what ends a message, texts with bytes that end none, and a client's connection:
+messages as they arrive, and the moment at which it ended."""
 import asyncio
+import zlib
+
+END = b"\r\n"
+HARD_SHARE = 4  # one text in so many holds bytes that look like the end of a message
+
+
+async def read_message(reader):
+    """The next message; asyncio.IncompleteReadError where the connection ends first."""
+    return (await reader.readuntil(END))[:-len(END)].decode()
+
+
+def data_of(name):
+    """The data of a write: a line feed or a carriage return by itself belongs to it, whatever stands behind."""
+    if zlib.crc32(name.encode()) % HARD_SHARE:
+        return f"v{name}"
+    return f"v{name}\nQUERY {name}.smuggled STORE 1 0\rx"
+
+
+def row_of(name):
+    """The row that answers the read with this id."""
+    if zlib.crc32(name.encode()) % HARD_SHARE:
+        return f"row-{name}"
+    return f"row-{name}\nIDLE I 9.9\rx"
 
 
 class Wire(asyncio.Protocol):
@@ -22,7 +46,7 @@
 
     def take_line(self):
         """The next whole line; none as long as it has not come."""
-        line, end, rest = self.buffer.partition(b"\r\n")
+        line, end, rest = self.buffer.partition(END)
         if not end:
             return None
         self.buffer = rest
