Pooler: setup statements carry their kind

Seen by callers: on a session that has set CONFIGURE to a value that ends in BEGIN, or prepared such a shape, every statement that goes to a database fails.

Cause: the pooler told its setup statements apart by their text, which holds the client's bytes. One that ended in BEGIN passed for a BEGIN; the answer, with no transaction open, then counted as a breach of the protocol, and the connection was dropped, on each try.

Change: a setup step is a value with a kind (SetupStep); name and value stand beside the text and are not read out of it again.

Tests: with the former test of the text put back, PoolerWire.AValueOrAShapeThatEndsInAVerbIsNoStatement and PoolerWire.AStatementReachesItsDatabaseWithEqualBytes fail.

--- a/src/pooler/engine.h
+++ b/src/pooler/engine.h
@@ -193,6 +193,23 @@
     TimerQueue::Id rest_timer = 0;
     StatementState statement;
   };
+  // A statement of the pooler's own that prepares a connection for a client's statement. Its kind is kept
+  // beside its text: the text holds bytes of the client, which may look like any verb.
+  struct SetupStep {
+    enum class Kind { kReset, kConfigure, kPrepare, kBegin };
+    static SetupStep reset() { return {Kind::kReset, "RESET", {}, {}}; }
+    static SetupStep configure(const std::string& name, const std::string& value) {
+      return {Kind::kConfigure, "CONFIGURE " + name + " " + value, name, value};
+    }
+    // shape: with its kind, FETCH or STORE
+    static SetupStep prepare(const std::string& name, const std::string& shape) {
+      return {Kind::kPrepare, "PREPARE " + name + " " + shape, name, shape};
+    }
+    static SetupStep begin(const std::string& text) { return {Kind::kBegin, text, {}, {}}; }
+    Kind kind = Kind::kReset;
+    std::string text;
+    std::string name, value;  // of CONFIGURE and PREPARE
+  };
   struct Connection {
     ConnectionId id = 0;
     InstanceId instance;
@@ -202,7 +219,7 @@
     Values values;
     std::map<std::string, std::string> prepared;  // kind and shape -> name on this connection
     SessionId session = 0;
-    std::deque<std::string> setup_steps;  // setup statements still to be sent
+    std::deque<SetupStep> setup_steps;  // still to be answered; the first one may be under way
     enum class Stage { kIdle, kSetup, kStatement, kCleanup } stage = Stage::kIdle;
     bool in_tx = false;
     bool tx_configured = false;      // values or prepared statements were set in the open transaction
@@ -315,6 +332,7 @@
   bool handle_answer_line(Connection& connection, std::string_view word, std::string_view line,
                           std::string_view rest);
   bool finish_step(Connection& connection, const sql_protocol::Idle& idle);
+  static void record_setup(Connection& connection, const SetupStep& step);
   bool is_expected_state(const Connection& connection, char state) const;
   void on_setup_error(Connection& connection, char state);
   void finish_statement(Connection& connection, const sql_protocol::Idle& idle);
--- a/src/pooler/engine_statements.cc
+++ b/src/pooler/engine_statements.cc
@@ -32,7 +32,7 @@
     bool extra = connection.values_unknown || connection.prepared.size() > kMaxPreparedPerConnection;
     for (auto& [name, value] : connection.values) extra = extra || !session.values.count(name);
     if (extra) {
-      connection.setup_steps.emplace_back("RESET");
+      connection.setup_steps.push_back(SetupStep::reset());
       connection.values.clear();
       connection.prepared.clear();
     }
@@ -40,21 +40,21 @@
   for (auto& [name, value] : session.values) {
     auto it = connection.values.find(name);
     if (it == connection.values.end() || it->second != value)
-      connection.setup_steps.push_back(std::string("CONFIGURE ").append(name).append(" ").append(value));
+      connection.setup_steps.push_back(SetupStep::configure(name, value));
   }
   if (!statement.prepared_shape.empty() && !connection.prepared.count(statement.prepared_shape)) {
     // Numbers go on after the list was cleared, so that a name never stands for two prepared statements.
     if (shape_names_.size() >= kMaxPreparedNames) shape_names_.clear();
     auto [it, fresh] = shape_names_.emplace(statement.prepared_shape, last_shape_number_ + 1);
     if (fresh) ++last_shape_number_;
-    connection.setup_steps.push_back("PREPARE p" + std::to_string(it->second) + " " +
-                                     statement.prepared_shape);
+    connection.setup_steps.push_back(
+        SetupStep::prepare("p" + std::to_string(it->second), statement.prepared_shape));
   }
   if (session.state == 'T' && !connection.in_tx) {
     std::string begin = session.tx_read_only ? "BEGIN FETCH" : "BEGIN";
     if (!statement.required_position.none())
       begin = "WAITFOR " + statement.required_position.text() + " " + begin;
-    connection.setup_steps.push_back(begin);
+    connection.setup_steps.push_back(SetupStep::begin(begin));
   }
   timers_.cancel(statement.soft_timer);
   statement.soft_timeout_extended = false;
@@ -96,7 +96,7 @@
   if (!connection.setup_steps.empty()) {
     connection.stage = Connection::Stage::kSetup;
     return callbacks_.send_to_database(connection.id,
-                                       sql_protocol::query("-", connection.setup_steps.front()));
+                                       sql_protocol::query("-", connection.setup_steps.front().text));
   }
   StatementState& statement = session->statement;
   if (statement.as_primary && !(session->state == 'T' && session->tx_answered) &&
@@ -224,21 +224,30 @@
     if (was_in_tx) connection.tx_configured = true;
     return send_next_step(connection), true;
   }
-  std::string text = std::move(connection.setup_steps.front());
+  const SetupStep step = std::move(connection.setup_steps.front());
   connection.setup_steps.pop_front();
-  auto parsed = sql_protocol::parse_statement(text);
-  if (parsed.verb == Verb::kConfigure) {
-    connection.values[std::string(parsed.name)] = std::string(parsed.rest);
-    if (connection.in_tx) connection.tx_configured = true;
-  } else if (parsed.verb == Verb::kPrepare) {
-    connection.prepared[std::string(parsed.rest)] = std::string(parsed.name);
-    if (connection.in_tx) connection.tx_configured = true;
-  } else if (text == "RESET") {
-    connection.values_unknown = false;
-  }
+  record_setup(connection, step);
   return send_next_step(connection), true;
 }
 
+// Notes what a setup statement that succeeded has changed on its connection.
+void Engine::record_setup(Connection& connection, const SetupStep& step) {
+  switch (step.kind) {
+    case SetupStep::Kind::kReset:
+      connection.values_unknown = false;
+      return;
+    case SetupStep::Kind::kConfigure:
+      connection.values[step.name] = step.value;
+      break;
+    case SetupStep::Kind::kPrepare:
+      connection.prepared[step.value] = step.name;
+      break;
+    case SetupStep::Kind::kBegin:
+      return;
+  }
+  if (connection.in_tx) connection.tx_configured = true;
+}
+
 // Whether the transaction state at the end of an answer fits the statement. A success leaves a transaction
 // open or not as the statement demands, and the success of a client's statement carries a stamp.
 bool Engine::is_expected_state(const Connection& connection, char state) const {
@@ -247,8 +256,7 @@
   if (connection.stage == Connection::Stage::kSetup) {
     // The client has gone and its setup steps are cleared: the cleanup that follows restores the connection.
     if (connection.setup_steps.empty()) return true;
-    bool begin = connection.setup_steps.front().ends_with("BEGIN") ||
-                 connection.setup_steps.front().ends_with("BEGIN FETCH");
+    const bool begin = connection.setup_steps.front().kind == SetupStep::Kind::kBegin;
     return (state == 'T') == (begin || connection.in_tx) && state != 'E';
   }
   if (connection.stamp.empty() || connection.stamp == "-") return false;
@@ -265,8 +273,8 @@
   InstanceId instance = connection.instance;
   Pool& pool = pools_[instance];
   if (code == "LAGGING") pool.lagging_until = now_ + kLaggingAvoidMs;
-  bool begin =
-      !connection.setup_steps.empty() && connection.setup_steps.front().find("BEGIN") != std::string::npos;
+  const bool begin =
+      !connection.setup_steps.empty() && connection.setup_steps.front().kind == SetupStep::Kind::kBegin;
   connection.session = 0;
   if (session) session->conn = 0;
   if (begin && !connection.in_tx)
--- a/tests/pooler/wire_bytes_test.cc
+++ b/tests/pooler/wire_bytes_test.cc
@@ -53,8 +53,15 @@
 // Data that looks like messages, verbs or ends of lines, and random bytes; all but CR LF may stand in a
 // field.
 std::string any_data(InputGenerator& generator) {
-  static const char* const kHard[] = {
-      "tower 7\nQUERY ff STORE balance 0", "x\rIDLE I 9.9", "\n", "\r", "RESET", "  two  blanks  "};
+  static const char* const kHard[] = {"tower 7\nQUERY ff STORE balance 0",
+                                      "x\rIDLE I 9.9",
+                                      "\n",
+                                      "\r",
+                                      "RESET",
+                                      "x BEGIN",
+                                      "BEGIN FETCH",
+                                      "WAITFOR 1.1 BEGIN",
+                                      "  two  blanks  "};
   std::string data = generator.pick(3) ? generator.random(80) : kHard[generator.pick(int(std::size(kHard)))];
   for (std::size_t at; (at = data.find("\r\n")) != std::string::npos;) data.erase(at, 1);
   return data.empty() ? "x" : data;
@@ -74,13 +81,29 @@
     ASSERT_TRUE(databases.database_answers("q3", std::string("COMPLETE s\r\n") + kIdle + "\r\n")) << round;
     EXPECT_TRUE(databases.has_written("QUERY - PREPARE p1 STORE " + data)) << round;
     EXPECT_TRUE(databases.has_written("QUERY q3 EXECUTE p1 k " + data)) << round;
+    databases.client_writes("QUERY q4 CONFIGURE v " + data + "\r\nQUERY q5 STORE k x\r\n");
+    ASSERT_TRUE(databases.database_answers("q5", std::string("COMPLETE s\r\n") + kIdle + "\r\n")) << round;
+    EXPECT_TRUE(databases.has_written("QUERY - CONFIGURE v " + data)) << round;
     for (auto& message : databases.written)
       EXPECT_TRUE(message.starts_with("CONNECT s ") || message.starts_with("QUERY q1 ") ||
-                  message.starts_with("QUERY q3 ") || message.starts_with("QUERY - "))
+                  message.starts_with("QUERY q3 ") || message.starts_with("QUERY q5 ") ||
+                  message.starts_with("QUERY - "))
           << round << ": " << message;
   }
 }
 
+// Guards against a statement that fails on each try: a value that ended in BEGIN passed for a BEGIN, and the
+// connection was dropped since no transaction was open after it.
+TEST(PoolerWire, AValueOrAShapeThatEndsInAVerbIsNoStatement) {
+  for (const char* data : {"x BEGIN", "BEGIN FETCH", "WAITFOR 1.1 BEGIN", "RESET"}) {
+    WireDatabases databases;
+    databases.client_writes(std::string("QUERY q1 CONFIGURE v ") + data + "\r\nQUERY q2 PREPARE n STORE " +
+                            data + "\r\nQUERY q3 EXECUTE n k\r\n");
+    EXPECT_TRUE(databases.database_answers("q3", std::string("COMPLETE s\r\n") + kIdle + "\r\n")) << data;
+    EXPECT_EQ(databases.connections.size(), 1u) << data << ": the first connection was dropped";
+  }
+}
+
 // Guards against rows that are read as several lines of an answer.
 TEST(PoolerWire, ARowReachesItsClientWithEqualBytes) {
   for (int round = 0; round < fuzz_rounds(300); ++round) {
