Configuration: a patch of what is no list of named items is refused

Cause: a patch names items of a list by kind. Nothing checked that the configuration's part of that kind is a list of objects; looking for a Name in Limits, in a number or in an item without a name raised an exception of the JSON library.

Change: such a patch is refused with 400, at any controller where no configuration could make it valid (Revision; Limits under Remove), else where it is applied. Items without a name are passed over.

Tests: without the checks ConfigurationReader.APatchOfWhatIsNoListOfNamedItemsIsRefused and ConfigurationReader.AnyPatchIsAppliedOrRefused (20,000 seeded patches) fail, each by the exception.

--- a/src/config/configuration_reader.cc
+++ b/src/config/configuration_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 #include "config/unambiguous_json.h"
 
@@ -185,36 +186,55 @@
   limits.max_body_bytes = fields.value("MaxBodyBytes", limits.max_body_bytes);
 }
 
+const char* const kLimits = "Limits";  // an object rather than a list of named items
+
 using OrderedJson = nlohmann::ordered_json;  // keeps the order of the operator's text
 
+bool is_named(const OrderedJson& item, const std::string& name) {
+  if (!item.is_object()) return false;
+  const auto field = item.find("Name");
+  return field != item.end() && field->is_string() && *field == name;
+}
+
 OrderedJson::iterator find_named(OrderedJson& items, const std::string& name) {
-  return std::find_if(items.begin(), items.end(), [&](auto& item) { return item.value("Name", "") == name; });
+  return std::find_if(items.begin(), items.end(), [&](auto& item) { return is_named(item, name); });
 }
 
-void remove_items(OrderedJson& configuration, const OrderedJson& removed) {
+Status not_a_list(const char* operation, const std::string& kind) {
+  return Status::invalid_argument(std::string(operation) + "." + kind + ": " + kind +
+                                  " is not a list of named items");
+}
+
+Status remove_items(OrderedJson& configuration, const OrderedJson& removed) {
   for (auto& [kind, names] : removed.items()) {
     if (!configuration.contains(kind)) continue;
+    OrderedJson& items = configuration[kind];
+    if (!items.is_array()) return not_a_list("Remove", kind);
     for (auto& name : names)
-      if (auto it = find_named(configuration[kind], name); it != configuration[kind].end())
-        configuration[kind].erase(it);
+      if (auto it = find_named(items, name); it != items.end()) items.erase(it);
   }
+  return Status::ok();
 }
 
-void upsert_items(OrderedJson& configuration, const OrderedJson& upserted) {
+void upsert_item(OrderedJson& items, const OrderedJson& item) {
+  auto it = find_named(items, item["Name"]);
+  if (it == items.end())
+    items.push_back(item);
+  else
+    *it = item;
+}
+
+Status upsert_items(OrderedJson& configuration, const OrderedJson& upserted) {
   for (auto& [kind, items] : upserted.items()) {
-    if (!items.is_array()) {  // Limits, which is an object rather than a list of named items
+    if (kind == kLimits) {
       for (auto& [field, value] : items.items()) configuration[kind][field] = value;
       continue;
     }
     if (!configuration.contains(kind)) configuration[kind] = OrderedJson::array();
-    for (auto& item : items) {
-      auto it = find_named(configuration[kind], item["Name"]);
-      if (it == configuration[kind].end())
-        configuration[kind].push_back(item);
-      else
-        *it = item;
-    }
+    if (!configuration[kind].is_array()) return not_a_list("Upsert", kind);
+    for (auto& item : items) upsert_item(configuration[kind], item);
   }
+  return Status::ok();
 }
 
 }  // namespace
@@ -236,8 +256,13 @@
 Status check_patch(std::string_view patch) {
   auto parsed = parse_unambiguous_json(patch);
   if (!parsed) return parsed.status();
-  auto error = patch_schema().check(*parsed);
-  return error.empty() ? Status::ok() : Status::invalid_argument(error);
+  if (auto error = patch_schema().check(*parsed); !error.empty()) return Status::invalid_argument(error);
+  // In no configuration are these lists of named items, so no state makes such a patch valid.
+  for (auto [operation, kind] :
+       {std::pair{"Upsert", "Revision"}, {"Remove", "Revision"}, {"Remove", kLimits}})
+    if (parsed->contains(operation) && (*parsed)[operation].contains(kind))
+      return not_a_list(operation, kind);
+  return Status::ok();
 }
 
 Result<std::string> apply_patch(const std::string& configuration, std::string_view patch) {
@@ -245,8 +270,10 @@
   const OrderedJson change = OrderedJson::parse(patch);
   OrderedJson changed = OrderedJson::parse(configuration);
   changed["Revision"] = change["Revision"];
-  if (change.contains("Remove")) remove_items(changed, change["Remove"]);
-  if (change.contains("Upsert")) upsert_items(changed, change["Upsert"]);
+  if (change.contains("Remove"))
+    if (Status removed = remove_items(changed, change["Remove"]); !removed.is_ok()) return removed;
+  if (change.contains("Upsert"))
+    if (Status upserted = upsert_items(changed, change["Upsert"]); !upserted.is_ok()) return upserted;
   return changed.dump();
 }
 
--- a/src/config/configuration_reader.h
+++ b/src/config/configuration_reader.h
@@ -14,7 +14,8 @@
 Status check_patch(std::string_view patch);
 // Applies a patch, which adds, replaces and removes items by name, to the JSON text of a configuration and
 // returns the new text. All other items stay as they are, in their order. Returns the errors of
-// check_patch(); the caller has to validate the result with read_configuration().
+// check_patch(), and kInvalidArgument if the patch names items of what is not a list of named items in this
+// configuration; the caller has to validate the result with read_configuration().
 Result<std::string> apply_patch(const std::string& configuration, std::string_view patch);
 
 }  // namespace pebblespindle
--- a/tests/config/configuration_reader_test.cc
+++ b/tests/config/configuration_reader_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 #include "config/cluster_state.h"
 #include "config/command_validation.h"
 #include "replication/encoded_messages.h"
@@ -92,6 +94,7 @@
         R"({"Revision":9,"Upsert":{"Routes":[{"Hostname":"x"}]}})",              // no name
         R"({"Revision":9,"Remove":["c"]})"})
     EXPECT_EQ(put(patch_configuration(5, invalid)), 400) << invalid;
+  EXPECT_FALSE(check_patch(R"({"Revision":9,"Remove":{"Limits":["IdleTimeoutMs"]}})").is_ok());
   EXPECT_EQ(put(patch_configuration(3, R"({"Revision":9})")), 412);
   EXPECT_EQ(put(patch_configuration(5, R"({"Revision":9,"Upsert":{"Limits":{"IdleTimeoutMs":700}}})")), 200);
   cluster.update_from(state);
@@ -100,6 +103,65 @@
   EXPECT_EQ(Json::parse(state.find(kConfigurationKey)->value)["Routes"].size(), 2u);
 }
 
+// Guards against an exception in the middle of a batch of orders: a patch that names items of what is no list
+// of named items raised one, whichever part of the configuration it was.
+TEST(ConfigurationReader, APatchOfWhatIsNoListOfNamedItemsIsRefused) {
+  const std::string config =
+      changed(kMeshConfig, R"("Limits":)", R"("Note":"text","Owners":[1,{"Name":7},"x"],"Limits":)");
+  ASSERT_TRUE(read_configuration(config)) << read_configuration(config).status().message();
+  for (const char* kind : {"Limits", "Revision", "Note"}) {
+    const std::string in_kind = std::string("{\"") + kind + "\":[";
+    EXPECT_FALSE(apply_patch(config, R"({"Revision":9,"Remove":)" + in_kind + R"("IdleTimeoutMs"]}})"))
+        << kind;
+    EXPECT_FALSE(apply_patch(config, R"({"Revision":9,"Upsert":)" + in_kind + R"({"Name":"x"}]}})")) << kind;
+  }
+  // Items that have no name stay as they are.
+  auto patched = apply_patch(config, R"({"Revision":9,"Remove":{"Owners":["7","x"],"Zones":["z"]}})");
+  ASSERT_TRUE(patched) << patched.status().message();
+  EXPECT_EQ(Json::parse(*patched)["Owners"].size(), 3u);
+}
+
+// Whatever JSON an operator sends gets an answer: a patch is applied or refused, and raises no exception.
+TEST(ConfigurationReader, AnyPatchIsAppliedOrRefused) {
+  std::mt19937 rng(1);
+  const auto pick = [&](std::size_t count) { return std::size_t(rng() % count); };
+  const std::vector<std::string> kinds{"Routes", "Services", "Tenants", "Limits", "Revision", "Note", "Name"};
+  const std::vector<Json> values{Json(),
+                                 true,
+                                 7,
+                                 -1.5,
+                                 "r",
+                                 Json::array(),
+                                 Json::object(),
+                                 Json::array({"r"}),
+                                 Json::array({7}),
+                                 Json::array({{{"Name", "r"}}}),
+                                 Json::array({{{"Name", 7}}}),
+                                 {{"Name", "r"}},
+                                 {{"IdleTimeoutMs", 700}},
+                                 {{"IdleTimeoutMs", Json::array()}}};
+  int applied = 0;
+  for (int round = 0; round < 20000; ++round) {
+    Json config = Json::parse(kMeshConfig);
+    if (pick(3) == 0) config[kinds[pick(kinds.size())]] = values[pick(values.size())];
+    Json patch{{"Revision", 9}};
+    for (const char* operation : {"Upsert", "Remove"}) {
+      if (pick(10) == 0) patch[operation] = values[pick(values.size())];
+      if (pick(2) == 0) patch[operation] = {{kinds[pick(kinds.size())], values[pick(values.size())]}};
+    }
+    if (pick(10) == 0) patch["Revision"] = values[pick(values.size())];
+    if (!read_configuration(config.dump())) continue;  // never stored, so never patched
+    ASSERT_NO_THROW({
+      if (auto patched = apply_patch(config.dump(), patch.dump())) {
+        ++applied;
+        (void)read_configuration(*patched);
+      }
+    }) << config
+       << " " << patch;
+  }
+  EXPECT_GT(applied, 1000);
+}
+
 TEST(ConfigurationReader, IsTakenByCompareAndSet) {
   StateTable state;
   auto submit = [&](std::uint64_t base, const std::string& body) {
