Names with control characters are refused

Seen: a service's name with a CR LF inside, from a configuration or a heartbeat, becomes two lines of CONNECT at a database, the second of the sender's choice; a tenant's name likewise, and in a mesh two header lines.

Change: the names of services and tenants, and the service, zone and id of a heartbeat, are refused with 400 where they hold a control character (base/text.h).

Tests: without the check two new cases of ConfigurationReader.EveryInvalidCaseIsRefused and InstanceCommands.AHeartbeatWithALineBreakInAFieldIsRefused fail.

--- /dev/null
+++ b/src/base/text.h
@@ -0,0 +1,19 @@
+// Properties of texts that come from outside.
+#pragma once
+#include <algorithm>
+#include <string_view>
+
+namespace pebblespindle {
+
+// Whether the text holds an ASCII control character, such as CR or LF. A name that does would end a line of
+// the SQL wire, or a header of HTTP, in its middle.
+inline bool has_control_character(std::string_view text) {
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  return std::any_of(text.begin(), text.end(), [](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < kFirstPrintable || byte == kDelete;
+  });
+}
+
+}  // namespace pebblespindle
--- a/src/config/configuration_reader.cc
+++ b/src/config/configuration_reader.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "base/text.h"
 #include "config/unambiguous_json.h"
 
 namespace pebblespindle {
@@ -142,6 +143,8 @@
 
 Status read_services(const Json& fields, Configuration& configuration) {
   for (auto& service : fields["Services"]) {
+    if (has_control_character(service["Name"].get_ref<const std::string&>()))
+      return Status::invalid_argument("Services: a Name holds a control character");
     ServiceSpec spec{service["Name"], service.value("MaxConnections", 16), service.value("SyncReplicas", 0)};
     if (!configuration.services.emplace(spec.name, spec).second)
       return Status::invalid_argument("two services are named " + spec.name);
@@ -168,6 +171,8 @@
   for (auto& tenant_fields : fields.value("Tenants", Json::array())) {
     Tenant tenant{tenant_fields["Name"], tenant_fields["ApiKeys"], tenant_fields.value("RatePerS", 0.0),
                   tenant_fields.value("BurstLimit", 0.0), tenant_fields.value("Priority", 1)};
+    if (has_control_character(tenant.name))
+      return Status::invalid_argument("Tenants: a Name holds a control character");
     for (auto& key : tenant.keys)
       if (!keys.insert(key).second)
         return Status::invalid_argument("a key of " + tenant.name + " is held twice");
--- a/src/config/instance.cc
+++ b/src/config/instance.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/json_schema.h"
+#include "base/text.h"
 
 namespace pebblespindle {
 namespace {
@@ -36,6 +37,10 @@
   if (!parsed) return parsed.status();
   const Json& fields = *parsed;
   if (auto error = heartbeat_schema().check(fields); !error.empty()) return Status::invalid_argument(error);
+  for (const char* field : {"TargetService", "Zone"})
+    if (has_control_character(fields[field].get_ref<const std::string&>()))
+      return Status::invalid_argument(std::string(field) + " holds a control character");
+  if (has_control_character(id)) return Status::invalid_argument("the id holds a control character");
   auto address = Endpoint::parse(fields["Address"].get<std::string>());
   if (!address) return Status::invalid_argument("Address: not an address with a port");
   Instance instance;
--- a/tests/config/configuration_reader_test.cc
+++ b/tests/config/configuration_reader_test.cc
@@ -49,6 +49,9 @@
            {kConfig, R"("RouteType":"primary")", R"("RouteType":"other")"},
            {kConfig, R"([{"Name":"s"}])", R"([{"Name":"s"},{"Name":"s"}])"},
            {kConfig, R"([{"Name":"s"}])", R"({"Name":"s"})"},
+           // Guards against a name that becomes two lines of the SQL wire, or two headers.
+           {kConfig, R"([{"Name":"s"}])", R"([{"Name":"s"},{"Name":"a\r\nQUERY - STEPDOWN 9"}])"},
+           {kConfig, R"([{"Name":"s"}])", R"([{"Name":"s"}],"Tenants":[{"Name":"a\nb","ApiKeys":["k"]}])"},
            {kMeshConfig, "/x/y/", "/x/"},      // the same host and path
            {kMeshConfig, R"("b")", R"("a")"},  // the same name
            {kMeshConfig, R"("t","W)", R"("u","W)"},
--- a/tests/config/instance_commands_test.cc
+++ b/tests/config/instance_commands_test.cc
@@ -28,5 +28,18 @@
       << "a deregistered database was registered again by a delayed heartbeat";
 }
 
+// Guards against a heartbeat whose service becomes two lines on the way to a database.
+TEST(InstanceCommands, AHeartbeatWithALineBreakInAFieldIsRefused) {
+  const std::string body =
+      R"({"TargetService":"s","Address":"10.0.0.1:80","Zone":"z","State":"available","CallCount":1})";
+  const auto with = [&](const std::string& from, const std::string& to) {
+    return std::string(body).replace(body.find(from), from.size(), to);
+  };
+  EXPECT_TRUE(read_instance_heartbeat("i-1", body));
+  EXPECT_FALSE(read_instance_heartbeat("i-1", with("\"s\"", R"("s\r\nQUERY - STEPDOWN 9")")));
+  EXPECT_FALSE(read_instance_heartbeat("i-1", with("\"z\"", R"("z\n")")));
+  EXPECT_FALSE(read_instance_heartbeat("i\r\n1", body));
+}
+
 }  // namespace
 }  // namespace pebblespindle::test
