Replication: memory is never ahead of the disk, whatever throws or fails

Cause: the replica changed its state in memory first and saved it afterwards, in eight places. An exception in between, here in the validation of a later order of the same batch, left the rows in memory; the chain's retry sent them on, the tail acknowledged them, and the next batch stored a higher sequence number, which hid the gap after a restart.

Evidence: the only trace was "link closed: message not understood" on the link whose message set the batch off. The refusal of an order whose validation throws is logged and counted now (status: failed_validations), and a state that is not stored is logged with its reason.

Change: - LocalState::update() is the only way to change the state: it applies the change in memory and writes it. If anything throws or fails on the way the replica takes no part, so that nothing it says rests on that memory, until it has read its disk again. - An exception in the validation of an order refuses that order alone (400; 503 where memory ran out). - The state is read back whole or not at all: Storage says when a read failed, where a part of the rows passed for all of them, and the replica counts as sound only once all is read. One that cannot read its disk at its start waits for it, where it would have begun under a new id. At a start a disk that fails a read is no longer set aside as damaged.

Why it works: whatever a replica sends, grants or answers is guarded by is_participating(), and no path leads from a change in memory to participation but through a commit that succeeded or a load.

The memory of each replica that takes part is compared with its disk after each step of ReplicaFaults too.

--- a/src/controller/status_report.cc
+++ b/src/controller/status_report.cc
@@ -19,6 +19,7 @@
           {"view", view()},
           {"seated", replica.holds_lease(now_)},
           {"disk", replica.disk_failed() ? "refuses writes" : "well"},
+          {"failed_validations", replica.failed_validation_count()},
           {"change", {{"stored", replica.state().last_sequence()}, {"committed", replica.committed()}}},
           {"configuration", revision},
           {"duty",
--- a/src/replication/chain.cc
+++ b/src/replication/chain.cc
@@ -44,20 +44,16 @@
 
 Status Chain::store(const Append& append) {
   const SequenceNumber last_held = state_.table.last_sequence();
-  const bool joining = state_.synced_view != state_.view.number;
-  WriteBatch batch;
-  state_.drop_transfer(batch);
-  if (append.last_sequence > last_held) {
+  return state_.update([&](WriteBatch& batch) {
+    state_.drop_transfer(batch);
+    if (state_.is_member()) state_.synced_view = state_.view.number;
+    if (append.last_sequence <= last_held) return;
     state_.history.record(append.terms);
     for (auto& row : append.rows)
       if (row.sequence > last_held) batch.rows.push_back(row);
     for (auto& row : batch.rows) state_.table.put(row);
     state_.table.set_last_sequence(append.last_sequence);
-  }
-  const bool synced_now = state_.is_member() && joining;
-  if (state_.is_member()) state_.synced_view = state_.view.number;
-  const bool changed = append.last_sequence > last_held || synced_now || batch.clear_staged;
-  return changed ? state_.save(std::move(batch)) : Status::ok();
+  });
 }
 
 bool Chain::accepts(const ReplicaId& from, const Commit& commit) const {
--- a/src/replication/local_state.h
+++ b/src/replication/local_state.h
@@ -1,12 +1,15 @@
 // The durable state of this replica: its view, its Paxos promises and the replicated rows; also whether the
 // replica participates.
 //
-// Invariant: while is_participating(), whatever this replica says in messages is on its disk. The members are
-// changed in memory first and then saved; if the disk refuses the write, the replica stops participating
-// until load() has read them from disk again.
+// Invariant: while is_participating(), memory and disk hold the same, so whatever this replica says in
+// messages is on its disk. update() is the only way to change the members: it applies a change in memory and
+// writes it to disk. If anything throws or fails on the way, the replica stops participating until load() has
+// read the members from disk again.
 #pragma once
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 
 #include "replication/messages.h"
 #include "storage/state_table.h"
@@ -22,20 +25,29 @@
 
 class LocalState {
  public:
-  // on_write_refused: called after the disk has refused a write; the replica no longer participates by then.
-  LocalState(ReplicaId initial_id, Storage& storage, std::function<void()> on_write_refused)
-      : self(std::move(initial_id)), storage_(storage), on_write_refused_(std::move(on_write_refused)) {}
+  // Changes members in memory and adds to the batch what has to be written for it: rows and staged rows; the
+  // metadata is added by update().
+  using Change = std::function<void(WriteBatch& batch)>;
 
-  void load();
-  // Writes the batch together with all metadata (everything but the rows). Returns kIoError if the disk
-  // refuses; see the invariant above.
-  Status save(WriteBatch batch = {});
+  // on_update_failed: called with the reason after update() has failed; the replica no longer participates by
+  // then.
+  LocalState(ReplicaId initial_id, Storage& storage,
+             std::function<void(const std::string& reason)> on_update_failed)
+      : self(std::move(initial_id)), storage_(storage), on_update_failed_(std::move(on_update_failed)) {}
+
+  // Reads all members from disk. Returns kIoError if they cannot be read; the replica does not participate
+  // then.
+  Status load();
+  // Applies the change and writes its batch together with all metadata, in one commit; writes nothing if
+  // nothing has changed. Returns kIoError if the change throws or the disk refuses; see the invariant above.
+  Status update(const Change& change);
   // Returns ok if the disk accepts writes again; the caller then has to call load().
   Status reopen();
   // Drops a partly received state from memory, and from disk once the batch is written.
   void drop_transfer(WriteBatch& batch);
 
   bool is_participating() const { return !disk_failed_ && !stopped; }
+  // Whether memory may differ from the disk.
   bool disk_failed() const { return disk_failed_; }
   bool is_member() const { return view.has_member(self); }
   bool is_head() const { return view.head() == self; }
@@ -59,8 +71,11 @@
 
  private:
   Json encode_durable() const;
+  Status apply_and_write(const Change& change);
+  Status read_members();
   Storage& storage_;
-  std::function<void()> on_write_refused_;
+  std::function<void(const std::string&)> on_update_failed_;
+  std::map<std::string, std::string> written_metadata_;
   bool disk_failed_ = false;
 };
 
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -1,6 +1,8 @@
 #include "replication/replica.h"
 
 #include <algorithm>
+#include <exception>
+#include <new>
 #include <utility>
 
 #include "replication/timing.h"
@@ -30,9 +32,10 @@
 }  // namespace
 
 Replica::Replica(const ReplicaOptions& options, Storage& storage, Environment& environment, Instant now)
-    : environment_(environment),
+    : options_(options),
+      environment_(environment),
       now_(now),
-      state_(options.host, storage, [this] { on_disk_refused(); }),
+      state_(options.host, storage, [this](const std::string& reason) { on_update_failed(reason); }),
       peers_(options.host, now),
       lease_(state_, peers_, now),
       planner_(state_, peers_, 2 * options.tolerated_losses + 1),
@@ -44,33 +47,36 @@
       without_lease_since_(now),
       member_removed_at_(now) {
   for (auto& seed : options.seeds) peers_.add_host(seed);
-  load_state();
-  if (state_.view.number > 0) return;
-  const bool is_seed =
-      std::find(options.seeds.begin(), options.seeds.end(), options.host) != options.seeds.end();
-  if (options.bootstrap && is_seed) {
-    bootstrap(options.seeds);
-    return;
-  }
-  state_.self = new_replica_id(options.host, options.incarnation);
+  if (Status loaded = load_state(); !loaded.is_ok()) on_update_failed(loaded.message());
+}
+
+// Called when the disk was read for the first time and holds no state.
+void Replica::begin_without_state() {
+  const auto& seeds = options_.seeds;
+  if (options_.bootstrap && std::find(seeds.begin(), seeds.end(), options_.host) != seeds.end())
+    return bootstrap();
+  state_.self = new_replica_id(options_.host, options_.incarnation);
   environment_.log_event("empty disk: joins as a new replica, id=" + state_.self);
 }
 
-void Replica::bootstrap(std::vector<std::string> seeds) {
+void Replica::bootstrap() {
+  std::vector<std::string> seeds = options_.seeds;
   std::sort(seeds.begin(), seeds.end());
   seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
-  View& view = state_.view;
-  view.number = view.term = 1;
-  for (auto& seed : seeds) view.members.push_back({seed, 1});
-  view.voters = std::move(seeds);
-  state_.synced_view = 1;
-  state_.history.record(1, 1);
-  (void)state_.save();  // if refused, on_disk_refused() has been called
-}
-
-// Loads the state from disk: at the start, and after the disk has refused a write.
-void Replica::load_state() {
-  state_.load();
+  // If this fails, on_update_failed() has been called.
+  (void)state_.update([&](WriteBatch&) {
+    View& view = state_.view;
+    view.number = view.term = 1;
+    for (auto& seed : seeds) view.members.push_back({seed, 1});
+    view.voters = std::move(seeds);
+    state_.synced_view = 1;
+    state_.history.record(1, 1);
+  });
+}
+
+// Loads the state from disk: at the start, and after an update of the state has failed.
+Status Replica::load_state() {
+  if (Status loaded = state_.load(); !loaded.is_ok()) return loaded;
   chain_.on_state_loaded();
   receiver_.on_state_loaded();
   submissions_.clear_in_flight();
@@ -78,24 +84,26 @@
   successor_request_.reset();
   for (auto& member : state_.view.members) peers_.add_host(host_of(member.id));
   for (auto& voter : state_.view.voters) peers_.add_host(host_of(voter));
+  if (!std::exchange(has_read_disk_, true) && state_.view.number == 0) begin_without_state();
+  return Status::ok();
 }
 
 // --- The disk ---
 
-// Memory now differs from the disk, so this replica does not participate until it has read the disk again.
-void Replica::on_disk_refused() {
+// Memory may now differ from the disk, so this replica does not participate until it has read the disk again.
+void Replica::on_update_failed(const std::string& reason) {
   relinquish_leases();
-  environment_.log_event("disk refuses a write: takes no part until it accepts one, id=" + state_.self);
+  environment_.log_event("state not stored: takes no part until the disk is read again, id=" + state_.self +
+                         " reason=" + reason);
 }
 
 void Replica::retry_disk() {
   if (now_ < next_disk_attempt_at_) return;
   next_disk_attempt_at_ = now_ + kDiskRetryMs;
-  if (!state_.reopen().is_ok()) return;
-  load_state();
+  if (!state_.reopen().is_ok() || !load_state().is_ok()) return;
   without_lease_since_ = now_;
   next_heartbeat_at_ = now_;
-  environment_.log_event("disk accepts writes again: takes part, id=" + state_.self);
+  environment_.log_event("disk read again: takes part, id=" + state_.self);
 }
 
 // --- Leases and liveness ---
@@ -273,7 +281,6 @@
   for (auto& member : former.members)
     if (!decided.has_member(member.id)) removed.push_back(member.id);
   if (!removed.empty()) member_removed_at_ = now_;
-  state_.view = decided;
   lease_.on_new_view(now_, decided.voters != former.voters);
   peers_.on_new_view();
   chain_.on_new_view(now_);
@@ -285,11 +292,15 @@
   // The state of the new view is the head's state; each other member obtains what it lacks from its
   // predecessor.
   const View::Member* own_entry = decided.find(state_.self);
-  const bool is_synced_head = own_entry && state_.is_head() && state_.synced_view >= own_entry->joined;
-  if (is_synced_head) state_.synced_view = decided.number;
-  if (is_synced_head && decided.term == decided.number)
-    state_.history.record(decided.term, state_.table.last_sequence() + 1);
-  if (!state_.save().is_ok()) return;
+  const bool is_synced_head =
+      own_entry && decided.head() == state_.self && state_.synced_view >= own_entry->joined;
+  const Status stored = state_.update([&](WriteBatch&) {
+    state_.view = decided;
+    if (!is_synced_head) return;
+    state_.synced_view = decided.number;
+    if (decided.term == decided.number) state_.history.record(decided.term, state_.table.last_sequence() + 1);
+  });
+  if (!stored.is_ok()) return;
   log_view(decided, join(removed));
   const bool was_head = former.head() == state_.self;
   // Changes in flight may never be committed if this replica left the view or lost the head's place.
@@ -388,8 +399,7 @@
     // The successor holds rows that this replica does not: this disk was restored to an older copy, so its
     // rows are not the state of the view.
     environment_.log_event("disk lost rows that were sent on: takes the state anew, id=" + state_.self);
-    state_.synced_view = 0;
-    (void)state_.save();  // if refused, on_disk_refused() has been called
+    (void)state_.update([&](WriteBatch&) { state_.synced_view = 0; });  // on failure: on_update_failed()
     return;
   }
   // The successor's rows are a prefix of this replica's rows.
@@ -431,10 +441,10 @@
   }
   sequence = std::min(sequence, acknowledged);
   if (sequence <= state_.table.compacted_to()) return;
-  state_.table.compact(sequence);
-  WriteBatch batch;
-  batch.compact_to = sequence;
-  (void)state_.save(std::move(batch));  // if refused, on_disk_refused() has been called
+  (void)state_.update([&](WriteBatch& batch) {  // on failure: on_update_failed()
+    state_.table.compact(sequence);
+    batch.compact_to = sequence;
+  });
 }
 
 // --- Submissions and reads ---
@@ -463,18 +473,21 @@
   const auto queued = submissions_.take_queued();
   // The submitters send them again, here or to the new head.
   if (!state_.is_head() || !holds_lease(now_)) return;
-  WriteBatch batch;
-  for (auto& submission : queued)
-    if (now_ < submission.received_at + kSubmitTimeoutMs)
-      validate_submission(submission, batch);  // else the submitter has stopped waiting
-  if (batch.rows.empty()) return answer_submissions();
-  if (!state_.save(std::move(batch)).is_ok()) return;
+  const SequenceNumber former_last = state_.table.last_sequence();
+  const Status stored = state_.update([&](WriteBatch& batch) {
+    for (auto& submission : queued)
+      if (now_ < submission.received_at + kSubmitTimeoutMs)
+        validate_submission(submission, batch);  // else the submitter has stopped waiting
+  });
+  if (!stored.is_ok()) return;
+  if (state_.table.last_sequence() == former_last) return answer_submissions();
   if (state_.is_tail()) return commit_up_to(state_.table.last_sequence());
   chain_.forward(now_);
 }
 
+// Part of a LocalState::Change.
 void Replica::validate_submission(const SubmissionQueue::Submission& submission, WriteBatch& batch) {
-  auto result = environment_.validate(state_.table, submission.command);
+  auto result = validate(submission.command);
   const SequenceNumber last = state_.table.last_sequence();
   if (!result.status.is_ok()) return submissions_.add_refusal(submission, last, std::move(result.status));
   if (result.rows.empty()) return submissions_.add_unchanged(submission, last);
@@ -486,6 +499,23 @@
   submissions_.add_change(submission, last + 1);
 }
 
+// An exception concerns the command that raised it alone: the command is refused and changes nothing. The
+// same command would raise it at each head, so the submitter is not told to try again, unless memory ran out.
+ValidationResult Replica::validate(const Json& command) {
+  const auto refuse = [&](Status status) {
+    ++failed_validation_count_;
+    environment_.log_event("command refused: its validation failed, reason=" + status.message());
+    return ValidationResult{std::move(status), {}};
+  };
+  try {
+    return environment_.validate(state_.table, command);
+  } catch (const std::bad_alloc&) {
+    return refuse(Status::unavailable("out of memory"));
+  } catch (const std::exception& error) {
+    return refuse(Status::invalid_argument(std::string("cannot be processed: ") + error.what()));
+  }
+}
+
 void Replica::answer_submissions() {
   if (!submissions_.has_in_flight() || !holds_lease(now_)) return;
   for (auto& reply : submissions_.take_replies(committed(), state_.is_tail())) send(reply.to, reply.reply);
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -92,6 +92,8 @@
   bool is_peer_in_sync(const ReplicaId& peer) const { return planner_.is_peer_in_sync(peer); }
   bool is_tail() const { return state_.is_tail(); }
   bool disk_failed() const { return state_.disk_failed(); }
+  // The number of commands whose validation threw an exception; each was refused and left nothing behind.
+  std::uint64_t failed_validation_count() const { return failed_validation_count_; }
   bool has_all_voters() const { return planner_.has_all_voters(); }
   // The hosts of the peers, to which the process should keep links.
   const std::set<std::string>& hosts() const { return peers_.hosts(); }
@@ -125,10 +127,11 @@
   void handle(const ReplicaId& from, const Accepted& accepted);
   void handle(const ReplicaId& from, const Decision& decision);
 
-  void bootstrap(std::vector<std::string> seeds);
-  void load_state();
+  void begin_without_state();
+  void bootstrap();
+  Status load_state();
   void retry_disk();
-  void on_disk_refused();
+  void on_update_failed(const std::string& reason);
   void relinquish_leases();
   void send_heartbeat();
   void observe_lease();
@@ -141,7 +144,9 @@
   void answer_submissions();
   void process_queued_submissions();
   void validate_submission(const SubmissionQueue::Submission& submission, WriteBatch& batch);
+  ValidationResult validate(const Json& command);
 
+  const ReplicaOptions options_;
   Environment& environment_;
   Instant now_;  // the time of the call that is being handled
   bool leaving_ = false;
@@ -158,6 +163,8 @@
   std::optional<StateRequest>
       successor_request_;  // received before this member was in sync; handled once it is
   Instant next_heartbeat_at_ = 0, next_disk_attempt_at_ = 0;
+  bool has_read_disk_ = false;  // at least once in the life of this process
+  std::uint64_t failed_validation_count_ = 0;
   std::optional<Instant> without_lease_since_;
   Instant member_removed_at_;
   struct CommitPoint {
--- a/src/replication/state_receiver.cc
+++ b/src/replication/state_receiver.cc
@@ -55,26 +55,32 @@
 
 StateReceiver::ChunkOutcome StateReceiver::on_chunk(const ReplicaId& from, StateChunk chunk) {
   if (!expects(from, chunk)) return ChunkOutcome::kIgnored;
-  WriteBatch batch;
+  requested_at_.reset();
+  ChunkOutcome outcome = ChunkOutcome::kMoreNeeded;
+  const Status stored = state_.update([&](WriteBatch& batch) {
+    stage(std::move(chunk.rows), chunk, batch);
+    if (chunk.end) outcome = finish(chunk.progress, *chunk.end, batch);
+  });
+  return stored.is_ok() ? outcome : ChunkOutcome::kNotStored;
+}
+
+void StateReceiver::stage(std::vector<Row> rows, const StateChunk& chunk, WriteBatch& batch) {
   if (chunk.is_first) {
     state_.drop_transfer(batch);
     batch.clear_staged = true;
   }
-  for (auto& row : chunk.rows) state_.staged_table.put(row);
-  batch.staged_rows = std::move(chunk.rows);
+  for (auto& row : rows) state_.staged_table.put(row);
+  batch.staged_rows = std::move(rows);
   state_.transfer = chunk.progress;
-  requested_at_.reset();
-  if (chunk.end) return finish(chunk.progress, *chunk.end, std::move(batch));
-  return state_.save(std::move(batch)).is_ok() ? ChunkOutcome::kMoreNeeded : ChunkOutcome::kNotStored;
 }
 
 StateReceiver::ChunkOutcome StateReceiver::finish(const TransferProgress& progress, const TransferEnd& end,
-                                                  WriteBatch batch) {
+                                                  WriteBatch& batch) {
   state_.staged_table.compact(end.compacted_to);
   if (!end.terms || (progress.whole_state && state_.staged_table.size() != end.row_count)) {
     state_.drop_transfer(batch);
     batch.staged_rows.clear();
-    return state_.save(std::move(batch)).is_ok() ? ChunkOutcome::kDropped : ChunkOutcome::kNotStored;
+    return ChunkOutcome::kDropped;
   }
   received_row_count_ = state_.staged_table.size();
   if (progress.whole_state) {
@@ -92,7 +98,7 @@
   state_.history.record(*end.terms);
   state_.transfer.reset();
   if (state_.is_member()) state_.synced_view = state_.view.number;
-  return state_.save(std::move(batch)).is_ok() ? ChunkOutcome::kComplete : ChunkOutcome::kNotStored;
+  return ChunkOutcome::kComplete;
 }
 
 }  // namespace pebblespindle::replication
--- a/src/replication/state_receiver.h
+++ b/src/replication/state_receiver.h
@@ -45,7 +45,9 @@
  private:
   ReplicaId source(Instant now) const;
   bool expects(const ReplicaId& from, const StateChunk& chunk) const;
-  ChunkOutcome finish(const TransferProgress& progress, const TransferEnd& end, WriteBatch batch);
+  // Parts of a LocalState::Change.
+  void stage(std::vector<Row> rows, const StateChunk& chunk, WriteBatch& batch);
+  ChunkOutcome finish(const TransferProgress& progress, const TransferEnd& end, WriteBatch& batch);
 
   LocalState& state_;
   Outbox& outbox_;
--- a/src/replication/view_change.cc
+++ b/src/replication/view_change.cc
@@ -44,8 +44,10 @@
   if (view.number > 0 && prepare.view <= view.number) return outbox_.send(from, Decision{view});
   if (prepare.view != view.number + 1 || !state_.may_vote() || !view.has_voter(from)) return;
   if (state_.promised.view == prepare.view && state_.promised.number > prepare.proposal) return;
-  state_.promised = {prepare.view, prepare.proposal};
-  if (!state_.save().is_ok()) return;
+  const Status stored = state_.update([&](WriteBatch&) {
+    state_.promised = {prepare.view, prepare.proposal};
+  });
+  if (!stored.is_ok()) return;
   Promise promise{prepare.view, prepare.proposal, state_.synced_view};
   if (state_.accepted_view && state_.accepted.view == prepare.view)
     promise.accepted = AcceptedProposal{state_.accepted.number, *state_.accepted_view};
@@ -100,9 +102,11 @@
   if (!accept.view.is_valid_successor_of(state_.view)) return;
   if (state_.promised.view == number && state_.promised.number > accept.proposal) return;
   if (lease_.must_wait_for_expiry(now, accept.view)) return;
-  state_.promised = state_.accepted = {number, accept.proposal};
-  state_.accepted_view = accept.view;
-  if (!state_.save().is_ok()) return;
+  const Status stored = state_.update([&](WriteBatch&) {
+    state_.promised = state_.accepted = {number, accept.proposal};
+    state_.accepted_view = accept.view;
+  });
+  if (!stored.is_ok()) return;
   outbox_.send(from, Accepted{number, accept.proposal});
 }
 
--- a/src/storage/sqlite_statement.cc
+++ b/src/storage/sqlite_statement.cc
@@ -21,7 +21,10 @@
 }
 
 bool SqliteStatement::next_row() {
-  return prepared_ && sqlite3_step(statement_) == SQLITE_ROW;
+  if (!prepared_) return false;
+  const int code = sqlite3_step(statement_);
+  complete_ = code == SQLITE_DONE;
+  return code == SQLITE_ROW;
 }
 
 bool SqliteStatement::execute() {
--- a/src/storage/sqlite_statement.h
+++ b/src/storage/sqlite_statement.h
@@ -20,13 +20,16 @@
   void bind(int parameter, const std::string& value);
   void bind(int parameter, std::uint64_t value);
   bool next_row();
+  bool is_complete() const {
+    return complete_;
+  }                // the last next_row() was false since there are no more rows
   bool execute();  // to its end, and resets it for other parameters
   std::string text(int column);
   std::uint64_t number(int column);
 
  private:
   sqlite3_stmt* statement_ = nullptr;
-  bool prepared_ = false;
+  bool prepared_ = false, complete_ = false;
 };
 
 }  // namespace pebblespindle
--- a/src/storage/sqlite_store.cc
+++ b/src/storage/sqlite_store.cc
@@ -128,26 +128,28 @@
   return sqlite3_exec(database_, sql.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK;
 }
 
-std::vector<Row> SqliteStore::read_rows(const char* sql) {
+Result<std::vector<Row>> SqliteStore::read_rows(const char* sql) {
   std::vector<Row> rows;
   SqliteStatement query(database_, sql);
   while (query.next_row())
     rows.push_back({query.text(0), query.text(1), query.number(2), query.number(3) != 0});
+  if (!query.is_complete()) return last_error();
   return rows;
 }
 
-std::vector<Row> SqliteStore::rows() {
+Result<std::vector<Row>> SqliteStore::rows() {
   return read_rows("SELECT key, value, number, gone FROM rows");
 }
 
-std::vector<Row> SqliteStore::staged_rows() {
+Result<std::vector<Row>> SqliteStore::staged_rows() {
   return read_rows("SELECT key, value, number, gone FROM staged");
 }
 
-std::map<std::string, std::string> SqliteStore::metadata() {
+Result<std::map<std::string, std::string>> SqliteStore::metadata() {
   std::map<std::string, std::string> metadata;
   SqliteStatement query(database_, "SELECT key, value FROM meta");
   while (query.next_row()) metadata[query.text(0)] = query.text(1);
+  if (!query.is_complete()) return last_error();
   return metadata;
 }
 
@@ -158,9 +160,13 @@
   if (query.next_row()) {
     count = query.number(0);
     highest = query.number(1);
+  } else {
+    return last_error();
   }
   if (count == 0) return Status::ok();
-  auto stored = metadata();
+  auto read = metadata();
+  if (!read) return read.status();
+  auto& stored = *read;
   const Json last_sequence = Json::parse(stored["stored"], nullptr, false);
   if (!last_sequence.is_number_unsigned())
     return Status::corruption("it holds rows, but not up to which sequence number");
--- a/src/storage/sqlite_store.h
+++ b/src/storage/sqlite_store.h
@@ -22,9 +22,9 @@
 
   Status commit(const WriteBatch& batch) override;
   Status reopen() override;
-  std::vector<Row> rows() override;
-  std::vector<Row> staged_rows() override;
-  std::map<std::string, std::string> metadata() override;
+  Result<std::vector<Row>> rows() override;
+  Result<std::vector<Row>> staged_rows() override;
+  Result<std::map<std::string, std::string>> metadata() override;
   // kCorruption when rows and metadata cannot be of one history. A replica writes both in one batch, so each
   // contradiction stands for a file that was put together from several.
   Status check_consistency();
@@ -39,7 +39,7 @@
   bool apply(WriteBatch::StagedAction action);
   bool apply(const WriteBatch& batch);
   bool compact(SequenceNumber sequence);
-  std::vector<Row> read_rows(const char* sql);
+  Result<std::vector<Row>> read_rows(const char* sql);
   Status last_error() const;
 
   std::string path_;
--- a/src/storage/storage.h
+++ b/src/storage/storage.h
@@ -20,6 +20,12 @@
   std::vector<Row> rows;          // then these overwrite the rows of their keys
   SequenceNumber compact_to = 0;  // then tombstones up to here are deleted
   std::map<std::string, std::string> metadata;
+
+  // Whether it changes nothing but metadata.
+  bool has_only_metadata() const {
+    return !clear_staged && staged_rows.empty() && staged_action == StagedAction::kKeep && rows.empty() &&
+           compact_to == 0;
+  }
 };
 
 // Owned by one replica and used from its event loop alone. Calls block until the disk has answered.
@@ -35,9 +41,10 @@
   virtual Status commit(const WriteBatch& batch) = 0;
   // Ok when the disk takes writes again and what is synced can be read.
   virtual Status reopen() = 0;
-  virtual std::vector<Row> rows() = 0;
-  virtual std::vector<Row> staged_rows() = 0;
-  virtual std::map<std::string, std::string> metadata() = 0;
+  // All of it, or kIoError: a part is never returned.
+  virtual Result<std::vector<Row>> rows() = 0;
+  virtual Result<std::vector<Row>> staged_rows() = 0;
+  virtual Result<std::map<std::string, std::string>> metadata() = 0;
 };
 
 }  // namespace pebblespindle
--- a/src/storage/store_recovery.cc
+++ b/src/storage/store_recovery.cc
@@ -16,6 +16,7 @@
     if (store) {
       const Status consistent = (*store)->check_consistency();
       if (consistent.is_ok()) return store;
+      if (consistent.code() != StatusCode::kCorruption) return consistent;
       damage = file_ + ": the file contradicts itself: " + consistent.message();
       store->reset();  // closed before its name goes
     }
--- a/tests/replication/faulty_cluster.h
+++ b/tests/replication/faulty_cluster.h
@@ -208,6 +208,7 @@
     for (Millis end = now() + duration; now() < end && !testing::Test::HasFailure();) step();
   }
   void check_invariants() {
+    expect_memory_as_on_disk();
     int heads = 0, tails = 0;
     for (auto& host : hosts) {
       if (!is_running(host)) continue;
--- a/tests/replication/replica_cluster.h
+++ b/tests/replication/replica_cluster.h
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <memory>
+#include <stdexcept>
 
 #include "replication/encoded_messages.h"
 #include "replication/replica.h"
@@ -28,7 +29,8 @@
   void send(const std::string& to, const replication::Message& message) override;
   replication::ValidationResult validate(const StateTable& state, const Json& command) override {
     // A command {key, expect, value} is a compare-and-set, as configuration changes and primary assignments
-    // are. An empty value deletes the row.
+    // are. An empty value deletes the row. One with `throws` raises an exception.
+    if (command.contains("throws")) throw std::runtime_error("cannot be validated");
     const Row* row = state.find(command["key"]);
     std::string current = row ? row->value : "";
     if (current == command["value"]) return {};
@@ -40,6 +42,8 @@
   void log_event(const std::string& event) override;
 };
 
+constexpr std::size_t kMostRowsCompared = 64;  // rows; larger tables would make each step slow
+
 struct ReplicaCluster {
   // The first `seed_count` of the replicas are the seeds.
   explicit ReplicaCluster(std::uint32_t seed, int replica_count = 3, int seed_count = 3,
@@ -109,6 +113,22 @@
       }
     }
   }
+  // Whatever a replica that participates says rests on its memory, which must be what a restart would read.
+  void expect_memory_as_on_disk() {
+    for (auto& host : hosts) {
+      if (!is_running(host) || at(host).disk_failed()) continue;
+      if (at(host).state().size() > kMostRowsCompared) continue;
+      const SimulatedReplica& core = *cores[host];
+      std::map<std::string, Row> in_memory;
+      for (auto& row : at(host).state().rows_after(0)) in_memory[row.key] = row;
+      std::map<std::string, Row> on_disk = core.disk.stored_rows;
+      std::erase_if(on_disk, [&](auto& entry) {
+        return entry.second.deleted && entry.second.sequence <= at(host).state().compacted_to();
+      });
+      ASSERT_EQ(in_memory, on_disk) << "the memory of " << host << " is not what its disk holds, at "
+                                    << net.now;
+    }
+  }
   int submit(const std::string& host, const std::string& key, const std::string& expect,
              const std::string& value) {
     int status = -1;
--- a/tests/storage/memory_storage.h
+++ b/tests/storage/memory_storage.h
@@ -1,5 +1,7 @@
 // Storage that survives its process: what was committed stays, and nothing else does.
 #pragma once
+#include <stdexcept>
+
 #include "storage/storage.h"
 
 namespace pebblespindle::test {
@@ -17,6 +19,7 @@
   }
 
   Status commit(const WriteBatch& batch) override {
+    if (throws) throw std::runtime_error("a fault below the disk's interface");
     if (full) return Status::io_error("full");
     if (batch.clear_staged) stored_staged_rows.clear();
     for (auto& row : batch.staged_rows) stored_staged_rows[row.key] = row;
@@ -30,14 +33,25 @@
       return entry.second.deleted && entry.second.sequence <= batch.compact_to;
     });
     for (auto& [key, value] : batch.metadata) stored_metadata[key] = value;
+    if (throws_after_writing) throw std::runtime_error("a fault after the write");
     return Status::ok();
   }
-  Status reopen() override { return full ? Status::io_error("full") : Status::ok(); }
-  std::vector<Row> rows() override { return values(stored_rows); }
-  std::vector<Row> staged_rows() override { return values(stored_staged_rows); }
-  std::map<std::string, std::string> metadata() override { return stored_metadata; }
+  Status reopen() override {
+    const bool works = !full && !throws && !throws_after_writing;
+    return works ? Status::ok() : Status::io_error("still at fault");
+  }
+  void repair() { full = throws = throws_after_writing = unreadable = false; }
+  Result<std::vector<Row>> rows() override {
+    if (unreadable) return Status::io_error("unreadable");
+    return values(stored_rows);
+  }
+  Result<std::vector<Row>> staged_rows() override { return values(stored_staged_rows); }
+  Result<std::map<std::string, std::string>> metadata() override { return stored_metadata; }
 
-  bool full = false;  // refuses writes
+  bool full = false;    // refuses writes
+  bool throws = false;  // throws instead of writing
+  bool throws_after_writing = false;
+  bool unreadable = false;  // refuses to be read
   std::map<std::string, Row> stored_rows, stored_staged_rows;
   std::map<std::string, std::string> stored_metadata;
 
--- a/tests/storage/sqlite_store_test.cc
+++ b/tests/storage/sqlite_store_test.cc
@@ -17,10 +17,10 @@
     for (int life = 0; life < 5; ++life) {
       auto disk = SqliteStore::open("ledger.db", vfs);
       ASSERT_TRUE(disk) << disk.status().message();
-      auto meta = (*disk)->metadata();
+      auto meta = *(*disk)->metadata();
       int last = meta.count("n") ? std::stoi(meta["n"]) : 0;
       EXPECT_GE(last, sure.count("n") ? std::stoi(sure["n"]) : 0) << "a committed batch is gone";
-      auto rows = (*disk)->rows();
+      auto rows = *(*disk)->rows();
       EXPECT_EQ(rows.size(), std::size_t(std::min(last, 20))) << "half a batch is there";
       for (auto& r : rows) EXPECT_LE(r.sequence, std::uint64_t(last)) << "rows without their number";
       power.until_loss = long(power.rng() % 200);
--- a/tests/storage/store_recovery_test.cc
+++ b/tests/storage/store_recovery_test.cc
@@ -42,7 +42,7 @@
 }
 
 std::uint64_t stored(SqliteStore& disk) {
-  auto m = disk.metadata();
+  auto m = *disk.metadata();
   return m.count("stored") ? std::stoull(m["stored"]) : 0;
 }
 
@@ -59,7 +59,7 @@
       if (auto disk = m.open()) {
         std::uint64_t last = stored(*disk);
         EXPECT_GE(last, sure) << "a committed batch is gone";
-        EXPECT_EQ(disk->rows().size(), std::min<std::size_t>(last, 20)) << "half a batch is there";
+        EXPECT_EQ(disk->rows()->size(), std::min<std::size_t>(last, 20)) << "half a batch is there";
         for (int n = int(last) + 1; n < int(last) + 20; ++n) {
           if (!disk->commit(batch(n, m.power.rng() % 3000)).is_ok()) break;
           sure = std::uint64_t(n);
@@ -115,8 +115,8 @@
 void expect_newcomer(Machine& m, const std::string& reason) {
   auto disk = m.open();
   ASSERT_TRUE(disk);
-  EXPECT_TRUE(disk->rows().empty());
-  EXPECT_TRUE(disk->metadata().empty());
+  EXPECT_TRUE(disk->rows()->empty());
+  EXPECT_TRUE(disk->metadata()->empty());
   ASSERT_EQ(m.notes.size(), 1u) << "it was taken for whole";
   EXPECT_NE(m.notes[0].find(reason), std::string::npos) << m.notes[0];
   EXPECT_TRUE(m.power.exists(kPath + ".damaged-1"));
--- a/tests/storage/stored_data_test.cc
+++ b/tests/storage/stored_data_test.cc
@@ -68,13 +68,13 @@
     "v": ["10.1.0.4", "10.2.0.4", "10.3.0.4~2a8765a3"]})"));
   EXPECT_EQ(node->state().last_sequence(), 10u);
   EXPECT_TRUE(node->in_sync());
-  const Json durable = Json::parse(disk->metadata()["durable"]);
+  const Json durable = Json::parse((*disk->metadata())["durable"]);
   // Written again, it says the same: nothing of it was left unread.
   receive_encoded(*node, 1001, "10.2.0.4", {{"t", "prep"}, {"n", 5}, {"b", 32}});
   Json expected = durable;
   expected["pi"] = 5;
   expected["pb"] = 32;
-  EXPECT_EQ(Json::parse(disk->metadata()["durable"]), expected);
+  EXPECT_EQ(Json::parse((*disk->metadata())["durable"]), expected);
   EXPECT_EQ(environment_.sent.back(), Json::parse(R"({"t": "prom", "n": 5, "b": 32, "s": 4})"));
 }
 
@@ -120,8 +120,8 @@
 
 TEST_F(StoredData, AnUnfinishedStateTransferGoesOnWhereItStopped) {
   auto disk = open("stored_joining.sql");
-  EXPECT_EQ(disk->rows().size(), 0u);
-  EXPECT_EQ(disk->staged_rows().size(), 5u);
+  EXPECT_EQ(disk->rows()->size(), 0u);
+  EXPECT_EQ(disk->staged_rows()->size(), 5u);
   auto node = start(*disk, "10.3.0.4");
   EXPECT_EQ(node->self(), "10.3.0.4~2a8765a3");
   EXPECT_EQ(node->view().number, 2u);
