Pooler: a message over the limit is refused by name before the session ends

Seen by callers: a message of more than 1 MiB ends the session with a cut or a reset, and no answer.

Cause: LineConnection closed the socket before it told its owner that an item is too long, so that the owner's answer went nowhere.

Change: the owner is told first; what it sends within that call is written, and the connection ends as after close_lingering(), so that the answer is read though the peer sends on. At rest the session gets STMTERR MALFORMED and, once connected, IDLE; behind a statement at work it is closed as before.

Tests: with the former order LineConnectionEnd.AMessageThatIsTooLongIsAnsweredBeforeTheEnd fails; PoolerWire.AMessageThatIsTooLongIsRefusedAndEndsTheSession states what the client gets.

--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -97,7 +97,7 @@
       case FrameDecoder::Outcome::kIncomplete:
         return true;
       case FrameDecoder::Outcome::kTooLong:
-        end(End::kTooLong);
+        end_too_long();
         return false;
       case FrameDecoder::Outcome::kItem:
         break;
@@ -107,6 +107,14 @@
   }
 }
 
+// The owner may answer: the peer reads the answer before the end, though it may be sending on.
+void LineConnection::end_too_long() {
+  auto self = shared_from_this();
+  lingering_ = true;  // reads no more
+  if (auto on_end = std::exchange(h_.on_end, nullptr)) on_end(End::kTooLong);
+  close_after_flush();
+}
+
 void LineConnection::send_frame(std::string_view frame) {
   char length[4];
   for (int i = 0; i < 4; ++i) length[i] = char(frame.size() >> (24 - 8 * i));
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -18,9 +18,11 @@
   enum class End { kClosed, kReset, kTooLong };
   struct Handlers {
     std::function<void(std::string_view item)> on_line;  // without its terminator or length
-    std::function<void(End)> on_end;                     // once, unless closed from this side
-    std::function<void()> on_batch;                      // after the lines of one read
-    std::function<void()> on_drained = {};               // all that was sent is written; or it was the last
+    // Once, unless closed from this side. With kTooLong the connection still takes what is sent within this
+    // call, and ends by itself as after close_lingering().
+    std::function<void(End)> on_end;
+    std::function<void()> on_batch;         // after the lines of one read
+    std::function<void()> on_drained = {};  // all that was sent is written; or it was the last
   };
 
   // max_item_bytes: a longer item ends the connection with End::kTooLong.
@@ -48,6 +50,7 @@
   void wait_read();
   void on_readable();
   bool hand_on(std::string_view joined, std::size_t& from);
+  void end_too_long();
   void flush();
   void drained();
   void finish_sending();
--- a/src/pooler/engine.cc
+++ b/src/pooler/engine.cc
@@ -109,9 +109,16 @@
   return {"THROTTLED", "retry-after-ms=" + std::to_string(kNodeRenewalMs) + " this node has no news"};
 }
 
+// Refuses a message that exceeds the limit and ends the session. Behind a statement that is still at work
+// there is no answer: it would be taken for that statement's.
 void Engine::on_client_line_too_long(SessionId id) {
-  if (!find_session(id)) return;
-  callbacks_.send_to_client(id, sql_protocol::error("TOOLARGE", "a message holds at most 1 MiB"));
+  Session* session = find_session(id);
+  if (!session) return;
+  const char* const why = "a message holds at most 1 MiB";
+  if (!session->connect_received)
+    callbacks_.send_to_client(id, sql_protocol::error("MALFORMED", why));
+  else if (!session->busy && session->lines.empty())
+    fail_statement(*session, "MALFORMED", why);
   close_session(id);
 }
 
--- a/tests/net/line_connection_test.cc
+++ b/tests/net/line_connection_test.cc
@@ -18,7 +18,10 @@
     client.connect(acceptor.local_endpoint());
     connection = std::make_shared<LineConnection>(acceptor.accept(), Framing::kCrLfLines, kMaxMessageBytes);
     connection->start({[this](std::string_view line) { lines.emplace_back(line); },
-                       [this](LineConnection::End) { ++ends; },
+                       [this](LineConnection::End why) {
+                         ++ends;
+                         if (on_end) on_end(why);
+                       },
                        {}});
   }
   void run(Millis ms) {
@@ -44,6 +47,7 @@
   LineConnection::Ptr connection;
   std::vector<std::string> lines;
   int ends = 0;
+  std::function<void(LineConnection::End)> on_end;  // of the test
 };
 
 // Guards against a statement smuggled inside the data of another one, over a real socket.
@@ -54,6 +58,29 @@
   EXPECT_EQ(lines, (std::vector<std::string>{message, "QUERY a3 FETCH k"}));
 }
 
+// Guards against a message over the limit that is cut off without a word: the connection was closed before
+// its owner could answer.
+TEST_F(LineConnectionEnd, AMessageThatIsTooLongIsAnsweredBeforeTheEnd) {
+  const std::string answer = "STMTERR MALFORMED a message holds at most 1 MiB\r\n";
+  on_end = [&](LineConnection::End why) {
+    EXPECT_EQ(why, LineConnection::End::kTooLong);
+    connection->send(answer);
+  };
+  client.non_blocking(true);
+  const std::string message(2 * kMaxMessageBytes, 'x');
+  for (std::size_t sent = 0; sent < message.size() && ends == 0; run(1)) {
+    asio::error_code full;
+    sent += client.write_some(asio::buffer(message.data() + sent, message.size() - sent), full);
+  }
+  bool reset = false;
+  EXPECT_EQ(drain(reset), answer.size());
+  EXPECT_FALSE(reset);
+  EXPECT_TRUE(lines.empty());
+  run(kLingerMs);
+  EXPECT_FALSE(connection->open());
+  EXPECT_EQ(ends, 1);
+}
+
 constexpr std::size_t kAnswerBytes = 8 << 20;  // more than the kernel takes at once
 
 // Guards against an answer lost to a reset: its client had sent on, and the connection was closed unread.
--- a/tests/pooler/wire_bytes_test.cc
+++ b/tests/pooler/wire_bytes_test.cc
@@ -120,5 +120,26 @@
   }
 }
 
+// A message over the limit is refused by name. Behind a statement at work the refusal would be that
+// statement's answer.
+TEST(PoolerWire, AMessageThatIsTooLongIsRefusedAndEndsTheSession) {
+  ManualDatabases databases;
+  databases.feed();
+  databases.lease();
+  databases.engine.on_client_connected(1);
+  databases.engine.on_client_line_too_long(1);
+  EXPECT_EQ(databases.take_output(1), "STMTERR MALFORMED a message holds at most 1 MiB\r\n");
+  databases.connect(2);
+  databases.take_output(2);
+  databases.engine.on_client_line_too_long(2);
+  EXPECT_EQ(databases.take_output(2), "STMTERR MALFORMED a message holds at most 1 MiB\r\nIDLE I -\r\n");
+  databases.connect(3);
+  databases.take_output(3);
+  databases.send_line(3, "QUERY q1 STORE k v");
+  databases.engine.on_client_line_too_long(3);
+  EXPECT_EQ(databases.take_output(3), "");
+  EXPECT_EQ(databases.ended, (std::set<SessionId>{1, 2, 3}));
+}
+
 }  // namespace
 }  // namespace pebblespindle::test
