--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -8,9 +8,9 @@
 
 using asio::ip::tcp;
 
-void set_silence_limit(tcp::socket& socket, Millis ms) {
+void set_silence_limit(tcp::socket& socket, Millis duration) {
   asio::error_code ignored;
-  int value = int(ms);
+  int value = int(duration);
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
 }
 
@@ -49,7 +49,7 @@
 }
 
 void LineConnection::start(Handlers h) {
-  h_ = std::move(h);
+  handlers_ = std::move(h);
   started_ = true;
   wait_read();
 }
@@ -69,28 +69,28 @@
 void LineConnection::on_readable() {
   static char chunk[kReadChunkBytes];
   asio::error_code ec;
-  std::size_t n = socket_.read_some(asio::buffer(chunk), ec);
+  const std::size_t length = socket_.read_some(asio::buffer(chunk), ec);
   if (ec == asio::error::would_block || ec == asio::error::try_again) return wait_read();
   if (ec) return end(ec == asio::error::eof ? End::kClosed : End::kReset);
   auto self = shared_from_this();
-  std::string_view data(chunk, n);
+  const std::string_view data(chunk, length);
   std::string joined;  // the handlers may read on other connections, so the chunk is not used past them
-  joined.reserve(in_.size() + n);
-  joined.append(in_).append(data);
-  in_.clear();
+  joined.reserve(received_.size() + length);
+  joined.append(received_).append(data);
+  received_.clear();
   std::size_t from = 0;
-  if (!hand_on(joined, from)) return;
+  if (!deliver_items(joined, from)) return;
   if (from < joined.size()) {
-    in_.assign(joined, from);
+    received_.assign(joined, from);
   } else {
-    in_.shrink_to_fit();
+    received_.shrink_to_fit();
   }
-  if (h_.on_batch) h_.on_batch();
+  if (handlers_.on_batch) handlers_.on_batch();
   if (open_ && !lingering_) wait_read();
 }
 
-// Hands on what is complete; false when the connection has ended meanwhile.
-bool LineConnection::hand_on(std::string_view joined, std::size_t& from) {
+// Hands the complete items to the owner; false when the connection has ended meanwhile.
+bool LineConnection::deliver_items(std::string_view joined, std::size_t& from) {
   std::string_view item;
   for (;;) {
     switch (decoder_.next(joined, from, item)) {
@@ -102,7 +102,7 @@
       case FrameDecoder::Outcome::kItem:
         break;
     }
-    h_.on_line(item);
+    handlers_.on_item(item);
     if (!open_) return false;
   }
 }
@@ -111,7 +111,7 @@
 void LineConnection::end_too_long() {
   auto self = shared_from_this();
   lingering_ = true;  // reads no more
-  if (auto on_end = std::exchange(h_.on_end, nullptr)) on_end(End::kTooLong);
+  if (auto on_end = std::exchange(handlers_.on_end, nullptr)) on_end(End::kTooLong);
   close_after_flush();
 }
 
@@ -124,7 +124,7 @@
 
 void LineConnection::send(std::string_view bytes) {
   if (!open_ || closing_) return;
-  out_.append(bytes);
+  queued_.append(bytes);
   if (writing_ || flush_posted_) return;
   flush_posted_ = true;
   asio::post(socket_.get_executor(), [self = shared_from_this()] {
@@ -135,27 +135,27 @@
 
 void LineConnection::flush() {
   if (!open_ || writing_) return;
-  if (out_.empty()) {
+  if (queued_.empty()) {
     if (closing_) finish_sending();
     return;
   }
   asio::error_code ec;
-  std::size_t n = socket_.write_some(asio::buffer(out_), ec);
+  const std::size_t written = socket_.write_some(asio::buffer(queued_), ec);
   if (ec && ec != asio::error::would_block && ec != asio::error::try_again) return end(End::kReset);
-  if (n == out_.size()) {
-    out_ = std::string();
+  if (written == queued_.size()) {
+    queued_ = std::string();
     return drained();
   }
-  flight_ = out_.substr(n);
-  out_ = std::string();
+  in_flight_ = queued_.substr(written);
+  queued_ = std::string();
   writing_ = true;
-  asio::async_write(socket_, asio::buffer(flight_),
+  asio::async_write(socket_, asio::buffer(in_flight_),
                     [self = shared_from_this()](const asio::error_code& e, std::size_t) {
                       self->writing_ = false;
-                      self->flight_ = std::string();
+                      self->in_flight_ = std::string();
                       if (!self->open_) return;
                       if (e) return self->end(End::kReset);
-                      if (self->out_.empty()) return self->drained();
+                      if (self->queued_.empty()) return self->drained();
                       self->flush();
                     });
 }
@@ -163,7 +163,7 @@
 void LineConnection::drained() {
   auto self = shared_from_this();
   if (closing_) finish_sending();
-  if (h_.on_drained) h_.on_drained();
+  if (handlers_.on_drained) handlers_.on_drained();
 }
 
 void LineConnection::finish_sending() {
@@ -197,7 +197,7 @@
 
 void LineConnection::end(End why) {
   if (!open_) return;
-  auto on_end = std::move(h_.on_end);
+  auto on_end = std::move(handlers_.on_end);
   close();
   if (on_end) on_end(why);
 }
@@ -209,7 +209,7 @@
   socket_.close(ignored);
   linger_timer_.reset();
   // Handlers may hold what holds this connection; let go of them, but not under a running one.
-  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->h_ = {}; });
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
 }
 
 void LineConnection::close_after_flush() {
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -17,11 +17,11 @@
   using Ptr = std::shared_ptr<LineConnection>;
   enum class End { kClosed, kReset, kTooLong };
   struct Handlers {
-    std::function<void(std::string_view item)> on_line;  // without its terminator or length
+    std::function<void(std::string_view item)> on_item;  // without its terminator or length
     // Once, unless closed from this side. With kTooLong the connection still takes what is sent within this
     // call, and ends by itself as after close_lingering().
     std::function<void(End)> on_end;
-    std::function<void()> on_batch;         // after the lines of one read
+    std::function<void()> on_batch;         // after the items of one read
     std::function<void()> on_drained = {};  // all that was sent is written; or it was the last
   };
 
@@ -41,7 +41,7 @@
   // comes meanwhile is not read, so that its sender can tell.
   void close_lingering();
   bool open() const { return open_; }
-  std::size_t queued() const { return out_.size() + flight_.size(); }
+  std::size_t queued() const { return queued_.size() + in_flight_.size(); }
   void pause(bool paused);  // stops reading while paused
   std::string peer_host() const;
   asio::ip::tcp::socket& socket() { return socket_; }
@@ -49,7 +49,7 @@
  private:
   void wait_read();
   void on_readable();
-  bool hand_on(std::string_view joined, std::size_t& from);
+  bool deliver_items(std::string_view joined, std::size_t& from);
   void end_too_long();
   void flush();
   void drained();
@@ -59,8 +59,8 @@
   void end(End why);
   asio::ip::tcp::socket socket_;
   FrameDecoder decoder_;
-  Handlers h_;
-  std::string in_, out_, flight_;
+  Handlers handlers_;
+  std::string received_, queued_, in_flight_;
   bool open_ = true, started_ = false, reading_ = false, writing_ = false, flush_posted_ = false;
   bool paused_ = false, closing_ = false;
   bool lingering_ = false, half_closed_ = false;
