--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -176,7 +176,7 @@
 void Controller::tick() {
   const Instant now = loop_.now();
   exit_when_handed_over(now);
-  peers_.connect_missing(now, replica_->hosts());
+  if (replica_->has_identity()) peers_.connect_missing(now, replica_->hosts());
   replica_->tick(now);
   observe_lease(now);
   node_leases_.expire(now);
@@ -280,7 +280,8 @@
   peer.zone = message.value("zone", "");
   peer.id = id;
   link->is_controller = true;
-  if (!peer.connection) peers_.connect(host);  // it is up: no need to wait for an opening packet it never got
+  if (!peer.connection && replica_->has_identity())
+    peers_.connect(host);  // it is up: no need to wait for an opening packet it never got
 }
 
 bool Controller::on_peer_message(const std::string& from, const Json& message) {
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -73,6 +73,9 @@
 
   // --- State of the replica ---
 
+  // Whether self() is final: the disk, which holds the id, has been read. Until then this replica must not be
+  // announced to others.
+  bool has_identity() const { return has_read_disk_; }
   const ReplicaId& self() const { return state_.self; }
   const View& view() const { return state_.view; }
   const StateTable& state() const { return state_.table; }
--- a/tests/replication/durable_update_test.cc
+++ b/tests/replication/durable_update_test.cc
@@ -167,9 +167,11 @@
   cluster.start("core2");
   cluster.run(2000);
   EXPECT_TRUE(cluster.at("core2").disk_failed());
+  EXPECT_FALSE(cluster.at("core2").has_identity());
   EXPECT_EQ(cluster.submit("core0", "k", "1", "2"), 200);
   cluster.cores["core2"]->disk.repair();
   cluster.run(5000);
+  EXPECT_TRUE(cluster.at("core2").has_identity());
   EXPECT_EQ(cluster.at("core2").self(), id);
   EXPECT_TRUE(cluster.at("core2").in_sync());
   EXPECT_EQ(cluster.at("core2").state().find("k")->value, "2");
