--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -157,7 +157,7 @@
                             std::string_view line) {
   auto candidate = candidates_.find(host);
   if (candidate == candidates_.end() || candidate->second.connection != connection) return;
-  Json message = Json::parse(line, nullptr, false);
+  Json message = parse_message(line);
   if (!message.is_object() || message.value("t", "") != "cores") return;
   directory_.replace_with(message["l"]);
   const bool at_home = directory_.zone_of(host) == settings_.zone;
--- a/src/agent/relay.cc
+++ b/src/agent/relay.cc
@@ -31,7 +31,7 @@
 
 void Relay::on_controller_line(std::string_view line) {
   if (!controller_up_) return;
-  Json message = Json::parse(line, nullptr, false);
+  Json message = parse_message(line);
   if (!message.is_object()) return leave_controller();
   const std::string type = field<std::string>(message, "t", "");
   if (type == "away") {
@@ -69,7 +69,7 @@
 
 void Relay::on_proxy_line(std::string_view line) {
   if (!proxy_up_) return;
-  const Json message = Json::parse(line, nullptr, false);
+  const Json message = parse_message(line);
   if (!message.is_object()) return;
   if (field<std::string>(message, "t", "") == "renew") return renew(message);
   if (controller_up_) port_.send_to_controller(std::string(line) + "\n");
--- a/src/base/json_schema.cc
+++ b/src/base/json_schema.cc
@@ -6,6 +6,8 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include "base/bounded_json.h"
+
 namespace pebblespindle {
 
 Schema::Schema(const char* text) {
@@ -36,9 +38,13 @@
 }
 
 Result<Json> parse_json(std::string_view text) {
-  Json document = Json::parse(text, nullptr, false);
-  if (document.is_discarded()) return Status::invalid_argument("not readable as JSON");
-  return document;
+  auto document = parse_bounded(text, kMaxJsonDepth);
+  if (!document) return Status::invalid_argument("not readable as JSON, or nested too deep");
+  return *std::move(document);
+}
+
+Json parse_message(std::string_view text) {
+  return parse_bounded(text, kMaxJsonDepth).value_or(Json(Json::value_t::discarded));
 }
 
 }  // namespace pebblespindle
--- a/src/base/json_schema.h
+++ b/src/base/json_schema.h
@@ -22,6 +22,9 @@
   std::shared_ptr<void> compiled_;
 };
 
+// Returns kInvalidArgument if the text is not JSON, or nested deeper than kMaxJsonDepth.
 Result<Json> parse_json(std::string_view text);
+// The same for a message on a link: a value that is no object (discarded) if it cannot be read.
+Json parse_message(std::string_view text);
 
 }  // namespace pebblespindle
--- a/src/config/configuration_reader.cc
+++ b/src/config/configuration_reader.cc
@@ -272,6 +272,8 @@
 
 Result<std::string> apply_patch(const std::string& configuration, std::string_view patch) {
   if (Status valid = check_patch(patch); !valid.is_ok()) return valid;
+  // An older build may have stored a text that is nested deeper than what can be serialized again.
+  if (auto stored = parse_json(configuration); !stored) return stored.status();
   const OrderedJson change = OrderedJson::parse(patch);
   OrderedJson changed = OrderedJson::parse(configuration);
   changed["Revision"] = change["Revision"];
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -249,7 +249,7 @@
 }
 
 void Controller::on_line(const InboundLink::Ptr& link, std::string_view line) {
-  const Json message = Json::parse(line, nullptr, false);
+  const Json message = parse_message(line);
   if (!message.is_object()) return close_misunderstood(link);
   try {
     if (link->is_controller) {
--- a/src/pooler/control_feed.cc
+++ b/src/pooler/control_feed.cc
@@ -8,7 +8,7 @@
 namespace pebblespindle::pooler {
 
 bool ControlFeed::handle_line(Millis now, std::string_view line) {
-  Json message = Json::parse(line, nullptr, false);
+  Json message = parse_message(line);
   if (!message.is_object()) return false;
   const std::string type = field<std::string>(message, "t", "");
   if (type == "up") {
--- a/src/sidecar/frame.cc
+++ b/src/sidecar/frame.cc
@@ -2,28 +2,11 @@
 
 #include <algorithm>
 
+#include "base/bounded_json.h"
 #include "sidecar/constants.h"
 
 namespace pebblespindle::sidecar {
 
-namespace {
-
-// Rejects deep nesting, which the parser of the library follows without limit.
-class DepthLimitedParser : public nlohmann::detail::json_sax_dom_parser<Json> {
- public:
-  using Dom = nlohmann::detail::json_sax_dom_parser<Json>;
-  explicit DepthLimitedParser(Json& out) : Dom(out, false) {}
-  bool start_object(std::size_t size) { return ++depth_ <= kMaxFrameDepth && Dom::start_object(size); }
-  bool start_array(std::size_t size) { return ++depth_ <= kMaxFrameDepth && Dom::start_array(size); }
-  bool end_object() { return --depth_, Dom::end_object(); }
-  bool end_array() { return --depth_, Dom::end_array(); }
-
- private:
-  int depth_ = 0;
-};
-
-}  // namespace
-
 std::string encode_frame(const Json& frame) {
   std::string out;
   Json::to_msgpack(frame, out);
@@ -31,11 +14,8 @@
 }
 
 std::optional<Json> decode_frame(std::string_view bytes) {
-  Json frame;
-  DepthLimitedParser parser(frame);
-  if (!Json::sax_parse(bytes.begin(), bytes.end(), &parser, Json::input_format_t::msgpack, true) ||
-      !frame.is_object())
-    return std::nullopt;
+  auto frame = parse_bounded(bytes, kMaxFrameDepth, Json::input_format_t::msgpack);
+  if (!frame || !frame->is_object()) return std::nullopt;
   return frame;
 }
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -202,7 +202,7 @@
   }
 
   void on_agent_line(std::string_view line) {
-    Json message = Json::parse(line, nullptr, false);
+    Json message = parse_message(line);
     if (!message.is_object()) return;
     const std::string type = message.value("t", "");
     if (type == "up") {
