Process: what is thrown behind a boundary ends no process, hangs none, is counted and answered

A row of the state that could not be decoded would have ended each process that it was fed to.

Change: base/exception_barrier.h counts and logs what is stopped, by boundary; `GET /status` shows it (`stopped_exceptions`). - Event loop: a timer, a signal's handler or a posted callback that throws ends alone; a periodic one goes on. The controller's tick runs its parts one by one, so that one that always throws keeps no other one from its turn. - Connection: a handler that throws ends its connection with End::kFailed, within which the owner may still answer: UNKNOWN (or ABORTED) to a client of the pooler, 500 to one of a sidecar. Links between our own processes are made anew and take up their state again. - HTTP: a request whose callback goes without an answer, by an exception or otherwise, gets a 500 that says it may have been carried out. - Submissions, reads and database queries: a callback that throws keeps no other one from its result. A connection to a database that ends since a handler threw counts as silence, not as a refusal. - Stored rows: one that cannot be decoded stands for no item, the others of its update are applied; the head of the configuration is taken whole or not at all. - A database's text with bytes that are no UTF-8 made `GET /status` throw; it is shown with replacements. Its ID counts as unknown.

--- a/src/base/text.h
+++ b/src/base/text.h
@@ -18,4 +18,13 @@
   });
 }
 
+// Whether the text holds printable ASCII characters alone, so that it can stand in JSON, in a log and on the
+// wire.
+inline bool is_printable_ascii(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte >= kFirstPrintable && byte < kDeleteCharacter;
+  });
+}
+
 }  // namespace pebblespindle
--- a/src/config/cluster_state.cc
+++ b/src/config/cluster_state.cc
@@ -2,6 +2,8 @@
 
 #include <set>
 
+#include "base/exception_barrier.h"
+
 namespace pebblespindle {
 
 bool ClusterState::apply(SequenceNumber sequence, const std::vector<Row>& rows) {
@@ -13,7 +15,9 @@
   for (auto& row : rows) {
     if (row.sequence <= before) continue;
     tenants_changed = tenants_changed || row.key.starts_with(kTenantPrefix);
-    apply_row(row, instances_changed);
+    // A row that cannot be decoded stands for no item: the others are applied all the same.
+    if (!run_guarded(Boundary::kStoredRow, [&] { apply_row(row, instances_changed); }))
+      apply_row({row.key, {}, row.sequence, true}, instances_changed);
   }
   if (instances_changed) index_instances();
   if (tenants_changed) index_tenant_keys();
--- a/src/config/state_rows.cc
+++ b/src/config/state_rows.cc
@@ -52,10 +52,14 @@
 }
 
 void apply_head(Configuration& configuration, const Json& fields) {
-  configuration.revision = fields.at(0);
-  configuration.limits.transaction_idle_timeout_ms = fields.at(1);
-  if (fields.size() < kHeadFields) return;
-  configuration.limits = {fields.at(1), fields.at(2), fields.at(3), fields.at(4), fields.at(5)};
+  const std::uint64_t revision = fields.at(0);
+  Limits limits = configuration.limits;
+  if (fields.size() < kHeadFields)
+    limits.transaction_idle_timeout_ms = fields.at(1);
+  else
+    limits = {fields.at(1), fields.at(2), fields.at(3), fields.at(4), fields.at(5)};
+  configuration.revision = revision;
+  configuration.limits = limits;
 }
 
 }  // namespace
--- a/src/controller/control_api.cc
+++ b/src/controller/control_api.cc
@@ -20,6 +20,11 @@
   return error_reply(http_status(status), status.message());
 }
 
+// Texts of databases stand in events, and may hold bytes that are no UTF-8.
+HttpReply status_reply(const Json& status) {
+  return {200, status.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", {}};
+}
+
 // The version that a change builds on.
 Result<std::uint64_t> base_version(const HttpRequest& request) {
   auto header = request.headers.find("if-match");
@@ -50,9 +55,9 @@
     if (request.method == "PUT") return on_put_instance(id, request, answer);
     if (request.method == "DELETE") return on_delete_instance(id, answer);
   } else if (request.path == "/status" && get) {
-    return answer({200, status(false).dump(2) + "\n", {}});
+    return answer(status_reply(status(false)));
   } else if (request.path == "/status/whole" && get) {
-    return answer({200, status(true).dump(2) + "\n", {}});
+    return answer(status_reply(status(true)));
   }
   answer(error_reply(404, "no such place"));
 }
--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "base/clock.h"
+#include "base/exception_barrier.h"
 #include "cli/command_registry.h"
 #include "config/command_validation.h"
 #include "controller/constants.h"
@@ -173,21 +174,30 @@
   loop_.rearm();
 }
 
+// A part that throws, however often, keeps no other one from its turn.
 void Controller::tick() {
   const Instant now = loop_.now();
-  exit_when_handed_over(now);
+  for (auto part : {&Controller::exit_when_handed_over, &Controller::tick_replica, &Controller::observe_lease,
+                    &Controller::expire_reports, &Controller::observe_duty, &Controller::tick_failover,
+                    &Controller::report_changed_leases, &Controller::exchange_quotas})
+    run_guarded(Boundary::kTimer, [&] { (this->*part)(now); });
+}
+
+void Controller::tick_replica(Instant now) {
   if (replica_->has_identity()) peers_.connect_missing(now, replica_->hosts());
   replica_->tick(now);
-  observe_lease(now);
+}
+
+void Controller::expire_reports(Instant now) {
   node_leases_.expire(now);
   std::erase_if(connection_limited_at_,
                 [now](auto& entry) { return now >= entry.second + kConnectionLimitTtlMs; });
   outlier_detector_.expire(now);
-  observe_duty(now);
+}
+
+void Controller::tick_failover(Instant now) {
   failover_->tick(now);
   database_client_.expire();
-  report_leases(false);
-  exchange_quotas();
 }
 
 void Controller::exit_when_handed_over(Instant now) {
@@ -227,7 +237,7 @@
 }
 
 void Controller::on_committed() {
-  feed_all();
+  run_guarded(Boundary::kReplication, [this] { feed_all(); });
   loop_.rearm();
 }
 
@@ -243,6 +253,8 @@
                            [this, link](LineConnection::End end) {
                              if (end == LineConnection::End::kTooLong)
                                log_.say("link closed: message too large, from=" + link->peer_name());
+                             if (end == LineConnection::End::kFailed)
+                               log_.say("link closed: message not understood, from=" + link->peer_name());
                              links_.erase(link);
                            },
                            [this] { loop_.rearm(); }});
@@ -251,16 +263,13 @@
 void Controller::on_line(const InboundLink::Ptr& link, std::string_view line) {
   const Json message = parse_message(line);
   if (!message.is_object()) return close_misunderstood(link);
-  try {
-    if (link->is_controller) {
-      if (!on_peer_message(link->name, message)) close_misunderstood(link);
-    } else if (message.value("t", "") == "core") {
-      on_peer_hello(link, message);
-    } else {
-      on_agent_message(link, message);
-    }
-  } catch (const Json::exception&) {  // a field of the wrong type
-    close_misunderstood(link);
+  // A field of the wrong type throws, which ends the link.
+  if (link->is_controller) {
+    if (!on_peer_message(link->name, message)) close_misunderstood(link);
+  } else if (message.value("t", "") == "core") {
+    on_peer_hello(link, message);
+  } else {
+    on_agent_message(link, message);
   }
 }
 
@@ -497,8 +506,7 @@
 
 // Allowances grow while this controller has its place; the controllers tell each other what they hold, and
 // even it out.
-void Controller::exchange_quotas() {
-  const Instant now = loop_.now();
+void Controller::exchange_quotas(Instant now) {
   cluster_.update_from(replica_->state());
   const auto& tenants = cluster_.configuration().tenants;
   if (tenants.empty()) return;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -45,6 +45,9 @@
   void reload_settings();
   void begin_leaving();
   void tick();
+  void tick_replica(Instant now);
+  void tick_failover(Instant now);
+  void expire_reports(Instant now);
   void exit_when_handed_over(Instant now);
   void observe_lease(Instant now);
   void observe_duty(Instant now);
@@ -76,11 +79,12 @@
   void on_connection_limit(const InstanceId& id, InboundLink* reporter);
 
   // quotas
-  void exchange_quotas();
+  void exchange_quotas(Instant now);
   void on_rights_request(const Json& message, const Answer& answer);
 
   // leases of nodes, over all controllers
   void report_leases(bool always);
+  void report_changed_leases(Instant) { report_leases(false); }
   std::size_t node_count() const;
   bool acknowledged_by_all_nodes(SequenceNumber sequence) const;
 
--- a/src/controller/database_client.cc
+++ b/src/controller/database_client.cc
@@ -1,5 +1,7 @@
 #include "controller/database_client.h"
 
+#include "base/exception_barrier.h"
+#include "base/text.h"
 #include "failover/constants.h"
 #include "net/constants.h"
 
@@ -14,7 +16,7 @@
   if (sql_protocol::take(text) != "WRONGNODE") return reply;
   reply.kind = DatabaseReply::Kind::kWrongNode;
   const std::string id(sql_protocol::take(text));
-  reply.answering_id = {id.empty() ? "unknown" : id};
+  reply.answering_id = {is_printable_ascii(id) && !id.empty() ? id : "unknown"};
   return reply;
 }
 
@@ -51,10 +53,14 @@
           return fail(to.id, line, silent ? DatabaseReply::Kind::kSilent : DatabaseReply::Kind::kRefused);
         }
         line->conn = conn;
-        conn->start(
-            {[this, id = to.id, line](std::string_view text) { on_line(id, line, text); },
-             [this, id = to.id, line](LineConnection::End) { fail(id, line, DatabaseReply::Kind::kRefused); },
-             [this] { loop_.rearm(); }});
+        conn->start({[this, id = to.id, line](std::string_view text) { on_line(id, line, text); },
+                     [this, id = to.id, line](LineConnection::End end) {
+                       // A handler that threw says nothing about the database.
+                       const bool by_database = end != LineConnection::End::kFailed;
+                       fail(id, line,
+                            by_database ? DatabaseReply::Kind::kRefused : DatabaseReply::Kind::kSilent);
+                     },
+                     [this] { loop_.rearm(); }});
         conn->send("CONNECT " + to.service + " controller " + to.id.value + "\r\n");
       });
 }
@@ -90,7 +96,7 @@
     loop_.timers().cancel(call.timer);
     DatabaseReply reply = line->reply;
     if (!line->calls.empty()) send_first(id, line);
-    call.done(reply);
+    run_guarded(Boundary::kDatabaseReply, [&] { call.done(reply); });
   }
 }
 
@@ -105,7 +111,7 @@
   auto calls = std::move(line->calls);
   line->calls.clear();
   for (auto& call : calls) loop_.timers().cancel(call.timer);
-  for (auto& call : calls) call.done(reply);
+  for (auto& call : calls) run_guarded(Boundary::kDatabaseReply, [&] { call.done(reply); });
 }
 
 void DatabaseClient::expire() {
--- a/src/controller/status_report.cc
+++ b/src/controller/status_report.cc
@@ -1,6 +1,17 @@
 #include "controller/status_report.h"
 
+#include "base/exception_barrier.h"
+
 namespace pebblespindle {
+namespace {
+
+Json stopped_exceptions_by_boundary() {
+  Json by_boundary = Json::object();
+  for (auto& [boundary, count] : stopped_exceptions()) by_boundary[name_of(boundary)] = count;
+  return by_boundary;
+}
+
+}  // namespace
 
 StatusReport::StatusReport(const Sources& sources, Instant now) : sources_(sources), now_(now) {
   cluster_.update_from(sources.replica.state());
@@ -20,6 +31,7 @@
           {"seated", replica.holds_lease(now_)},
           {"disk", replica.disk_failed() ? "refuses writes" : "well"},
           {"failed_validations", replica.failed_validation_count()},
+          {"stopped_exceptions", stopped_exceptions_by_boundary()},
           {"change", {{"stored", replica.state().last_sequence()}, {"committed", replica.committed()}}},
           {"configuration", revision},
           {"duty",
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -2,6 +2,8 @@
 
 #include <chrono>
 
+#include "base/exception_barrier.h"
+
 namespace pebblespindle {
 
 EventLoop::EventLoop() = default;
@@ -22,7 +24,7 @@
   signals_.async_wait([this](const asio::error_code& ec, int number) {
     if (ec) return;
     auto it = handlers_.find(number);
-    if (it != handlers_.end()) it->second();
+    if (it != handlers_.end()) run_guarded(Boundary::kSignal, it->second);
     wait_signal();
     rearm();
   });
@@ -30,7 +32,7 @@
 
 void EventLoop::every(Millis period, std::function<void()> callback) {
   timers_.at(now() + period, [this, period, callback] {
-    callback();
+    run_guarded(Boundary::kTimer, callback);
     every(period, callback);
   });
   rearm();
@@ -50,14 +52,21 @@
   kernel_timer_.async_wait([this](const asio::error_code& ec) {
     if (ec) return;
     armed_for_ = -1;
-    timers_.run(now());
+    run_due_timers();
     rearm();
   });
 }
 
+// A timer that throws has left the queue by then; the others that are due still run.
+void EventLoop::run_due_timers() {
+  while (!run_guarded(Boundary::kTimer, [this] { timers_.run(now()); })) {
+  }
+}
+
 void EventLoop::run() {
   rearm();
-  io_.run();
+  while (!run_guarded(Boundary::kEventLoop, [this] { io_.run(); })) {
+  }
 }
 
 }  // namespace pebblespindle
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -1,4 +1,5 @@
-// The event loop of a process: one thread, real time, signals, and the timers of its parts.
+// The event loop of a process: one thread, real time, signals, and the timers of its parts. Whatever a
+// callback throws ends that callback alone (base/exception_barrier.h).
 #pragma once
 #include <asio.hpp>
 #include <functional>
@@ -14,6 +15,7 @@
   asio::io_context& io() { return io_; }
   TimerQueue& timers() { return timers_; }
   void on_signal(int number, std::function<void()> callback);
+  // Calls it again and again, also after it has thrown.
   void every(Millis period, std::function<void()> callback);
   // Re-arms the one kernel timer; called after anything that may have set an earlier timer.
   void rearm();
@@ -22,6 +24,7 @@
 
  private:
   void wait_signal();
+  void run_due_timers();
   asio::io_context io_{1};
   asio::steady_timer kernel_timer_{io_};
   asio::signal_set signals_{io_};
--- a/src/net/http.cc
+++ b/src/net/http.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/exception_barrier.h"
+#include "base/json_schema.h"
 #include "net/constants.h"
 #include "net/http_reader.h"
 
@@ -34,6 +36,7 @@
                              {409, "Conflict"},
                              {412, "Precondition Failed"},
                              {413, "Payload Too Large"},
+                             {500, "Internal Server Error"},
                              {503, "Service Unavailable"}})
     if (code == status) return text;
   return "Status";
@@ -61,6 +64,22 @@
   }
 
  private:
+  // Held by all copies of an HttpDone. When the last one goes without an answer, because something threw on
+  // the way to it, the client is told so rather than left waiting.
+  struct Responder {
+    explicit Responder(std::shared_ptr<ServerConn> answered) : connection(std::move(answered)) {}
+    Responder(const Responder&) = delete;
+    Responder& operator=(const Responder&) = delete;
+    ~Responder() {
+      run_guarded(Boundary::kHttpRequest, [this] { connection->answer(internal_error()); });
+    }
+    std::shared_ptr<ServerConn> connection;
+  };
+  static HttpReply internal_error() {
+    return {500,
+            Json{{"ErrorMessage", "internal error: the request may have been carried out or not"}}.dump(),
+            {}};
+  }
   void parse() {
     std::size_t took = 0;
     auto state = in_.feed(pending_, took);
@@ -77,9 +96,11 @@
     close_ = !m.keep_alive || !is_target(m.target);
     due_ = true;
     if (!is_target(m.target)) return answer({400, "", {}});
-    auto self = shared_from_this();
-    (*handler_)({m.method, m.target, std::move(m.body), by_name(m.fields)},
-                [self](HttpReply r) { self->answer(std::move(r)); });
+    auto responder = std::make_shared<Responder>(shared_from_this());
+    run_guarded(Boundary::kHttpRequest, [&] {
+      (*handler_)({m.method, m.target, std::move(m.body), by_name(m.fields)},
+                  [responder](HttpReply r) { responder->connection->answer(std::move(r)); });
+    });
   }
   // The next request is read only once this one is answered: answers keep the order of the requests.
   void answer(HttpReply r) {
--- a/src/net/line_connection.cc
+++ b/src/net/line_connection.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include "base/exception_barrier.h"
 #include "net/constants.h"
 
 namespace pebblespindle {
@@ -44,7 +45,8 @@
                                 if (e) return done(nullptr, e);
                                 asio::error_code ignored;
                                 conn->socket_.set_option(tcp::no_delay(true), ignored);
-                                done(conn, e);
+                                if (!run_guarded(Boundary::kConnection, [&] { done(conn, e); }))
+                                  conn->end(End::kFailed);
                               });
 }
 
@@ -85,7 +87,8 @@
   } else {
     received_.shrink_to_fit();
   }
-  if (handlers_.on_batch) handlers_.on_batch();
+  if (handlers_.on_batch && !run_guarded(Boundary::kConnection, handlers_.on_batch))
+    end_after_last_words(End::kFailed);
   if (open_ && !lingering_) wait_read();
 }
 
@@ -97,24 +100,33 @@
       case FrameDecoder::Outcome::kIncomplete:
         return true;
       case FrameDecoder::Outcome::kTooLong:
-        end_too_long();
+        end_after_last_words(End::kTooLong);
         return false;
       case FrameDecoder::Outcome::kItem:
         break;
     }
-    handlers_.on_item(item);
+    if (!run_guarded(Boundary::kConnection, [&] { handlers_.on_item(item); })) {
+      end_after_last_words(End::kFailed);
+      return false;
+    }
     if (!open_) return false;
   }
 }
 
 // The owner may answer: the peer reads the answer before the end, though it may be sending on.
-void LineConnection::end_too_long() {
+void LineConnection::end_after_last_words(End why) {
+  if (!open_) return;
   auto self = shared_from_this();
   lingering_ = true;  // reads no more
-  if (auto on_end = std::exchange(handlers_.on_end, nullptr)) on_end(End::kTooLong);
+  call_on_end(why);
   close_after_flush();
 }
 
+void LineConnection::call_on_end(End why) {
+  auto on_end = std::exchange(handlers_.on_end, nullptr);
+  if (on_end) run_guarded(Boundary::kConnection, [&] { on_end(why); });
+}
+
 void LineConnection::send_frame(std::string_view frame) {
   char length[4];
   for (int i = 0; i < 4; ++i) length[i] = char(frame.size() >> (24 - 8 * i));
@@ -163,7 +175,7 @@
 void LineConnection::drained() {
   auto self = shared_from_this();
   if (closing_) finish_sending();
-  if (handlers_.on_drained) handlers_.on_drained();
+  if (handlers_.on_drained && !run_guarded(Boundary::kConnection, handlers_.on_drained)) end(End::kFailed);
 }
 
 void LineConnection::finish_sending() {
@@ -197,9 +209,9 @@
 
 void LineConnection::end(End why) {
   if (!open_) return;
-  auto on_end = std::move(handlers_.on_end);
+  auto self = shared_from_this();
   close();
-  if (on_end) on_end(why);
+  call_on_end(why);
 }
 
 void LineConnection::close() {
@@ -261,7 +273,7 @@
       });
       return;
     }
-    on_socket_(std::move(socket));
+    run_guarded(Boundary::kAcceptor, [&] { on_socket_(std::move(socket)); });
     accept();
   });
 }
--- a/src/net/line_connection.h
+++ b/src/net/line_connection.h
@@ -15,11 +15,16 @@
 class LineConnection : public std::enable_shared_from_this<LineConnection> {
  public:
   using Ptr = std::shared_ptr<LineConnection>;
-  enum class End { kClosed, kReset, kTooLong };
+  enum class End {
+    kClosed,   // by the peer
+    kReset,    // broken
+    kTooLong,  // the peer sent an item above the limit
+    kFailed    // a handler threw: what it was called for is done in part at most
+  };
   struct Handlers {
     std::function<void(std::string_view item)> on_item;  // without its terminator or length
-    // Once, unless closed from this side. With kTooLong the connection still takes what is sent within this
-    // call, and ends by itself as after close_lingering().
+    // Once, unless closed from this side. With kTooLong and kFailed the connection still takes what is sent
+    // within this call, and ends by itself as after close_lingering().
     std::function<void(End)> on_end;
     std::function<void()> on_batch;         // after the items of one read
     std::function<void()> on_drained = {};  // all that was sent is written; or it was the last
@@ -50,7 +55,8 @@
   void wait_read();
   void on_readable();
   bool deliver_items(std::string_view joined, std::size_t& from);
-  void end_too_long();
+  void end_after_last_words(End why);
+  void call_on_end(End why);
   void flush();
   void drained();
   void finish_sending();
--- a/src/pooler/engine.cc
+++ b/src/pooler/engine.cc
@@ -122,6 +122,17 @@
   close_session(id);
 }
 
+void Engine::on_client_failed(SessionId id) {
+  Session* session = find_session(id);
+  if (!session) return;
+  const char* const why = "internal error";
+  if (session->statement.active)
+    abort_statement(*session, why);
+  else if (session->connect_received)
+    fail_statement(*session, "UNKNOWN", why);
+  close_session(id);
+}
+
 bool Engine::has_backlog(SessionId id) const {
   auto it = sessions_.find(id);
   return it != sessions_.end() &&
--- a/src/pooler/engine.h
+++ b/src/pooler/engine.h
@@ -63,6 +63,9 @@
   void on_client_read_end(SessionId);  // all lines of one read from the socket have been passed in
   void on_client_closed(SessionId);
   void on_client_line_too_long(SessionId);
+  // The processing of a line has thrown: tells the client that the outcome is not known, and ends the
+  // session.
+  void on_client_failed(SessionId);
   // Whether so many lines of the client are queued that the caller should stop reading from it.
   bool has_backlog(SessionId) const;
 
--- a/src/pooler/pooler.cc
+++ b/src/pooler/pooler.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <set>
 
+#include "base/exception_barrier.h"
 #include "base/log.h"
 #include "cli/command_registry.h"
 #include "health/constants.h"
@@ -190,6 +191,8 @@
                  [this, id](LineConnection::End end) {
                    update_time();
                    if (end == LineConnection::End::kTooLong) engine_.on_client_line_too_long(id);
+                   if (end == LineConnection::End::kFailed)
+                     run_guarded(Boundary::kConnection, [&] { engine_.on_client_failed(id); });
                    clients_.erase(id);
                    engine_.on_client_closed(id);
                    loop_.rearm();
--- a/src/replication/pending_requests.cc
+++ b/src/replication/pending_requests.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/exception_barrier.h"
 #include "replication/timing.h"
 
 namespace pebblespindle::replication {
@@ -10,6 +11,12 @@
 const char* const kNoAnswer = "no answer from the chain";
 const char* const kShuttingDown = "this controller ends";
 
+// The caller's code: what it throws must not end the processing of the message that brought the result.
+template <class Callback, class Outcome>
+void call_done(const Callback& done, Outcome outcome) {
+  run_guarded(Boundary::kSubmission, [&] { done(std::move(outcome)); });
+}
+
 template <class Request>
 std::vector<RequestId> timed_out(Instant now, const std::map<RequestId, Request>& requests) {
   std::vector<RequestId> ids;
@@ -21,7 +28,7 @@
 }  // namespace
 
 void PendingRequests::submit(Instant now, const View& view, Json command, SubmitCallback done) {
-  if (shut_down_) return done(Status::no_answer(kShuttingDown));
+  if (shut_down_) return call_done(done, Status::no_answer(kShuttingDown));
   const RequestId request = ++last_request_id_;
   Submission& submission = submissions_[request];
   submission.command = std::move(command);
@@ -93,8 +100,8 @@
 void PendingRequests::shut_down() {
   shut_down_ = true;
   for (auto& [id, submission] : std::exchange(submissions_, {}))
-    submission.done(Status::no_answer(kShuttingDown));
-  for (auto& [id, read] : std::exchange(reads_, {})) read.done(Status::no_answer(kShuttingDown));
+    call_done(submission.done, Status::no_answer(kShuttingDown));
+  for (auto& [id, read] : std::exchange(reads_, {})) call_done(read.done, Status::no_answer(kShuttingDown));
 }
 
 void PendingRequests::finish_submission(RequestId request, Status status) {
@@ -102,7 +109,7 @@
   if (it == submissions_.end()) return;
   auto done = std::move(it->second.done);
   submissions_.erase(it);
-  done(std::move(status));
+  call_done(done, std::move(status));
 }
 
 void PendingRequests::finish_read(RequestId request, Result<std::optional<std::string>> value) {
@@ -110,7 +117,7 @@
   if (it == reads_.end()) return;
   auto done = std::move(it->second.done);
   reads_.erase(it);
-  done(std::move(value));
+  call_done(done, std::move(value));
 }
 
 }  // namespace pebblespindle::replication
--- a/src/sidecar/client_listener.cc
+++ b/src/sidecar/client_listener.cc
@@ -21,8 +21,11 @@
   if (draining_) client->pipeline.drain();
   clients_[client.get()] = client;
   client->conn->start({[this, client](std::string_view bytes) { on_read(client, bytes); },
-                       [this, client](LineConnection::End) { on_closed(client); }, [this] { loop_.rearm(); },
-                       [this, client] { on_written(client); }});
+                       [this, client](LineConnection::End end) {
+                         if (end == LineConnection::End::kFailed) answer_failed(client);
+                         on_closed(client);
+                       },
+                       [this] { loop_.rearm(); }, [this, client] { on_written(client); }});
   restart_timer(client);
 }
 
@@ -96,6 +99,16 @@
   restart_timer(client);
 }
 
+// Its processing has thrown: what it still waits for is answered as an error.
+void ClientListener::answer_failed(const Ptr& client) {
+  std::string replies;
+  for (auto id : client->pipeline.unanswered()) {
+    replies += client->pipeline.answer(id, local_reply(kInternalError));
+    if (calls_.erase(id)) callbacks_.on_client_gone(id);
+  }
+  client->conn->send(replies);
+}
+
 void ClientListener::on_closed(const Ptr& client) {
   loop_.timers().cancel(client->timer);
   for (auto id : client->pipeline.unanswered())
--- a/src/sidecar/client_listener.h
+++ b/src/sidecar/client_listener.h
@@ -40,6 +40,7 @@
   void on_written(const Ptr& client);
   void restart_timer(const Ptr& client);
   void on_timer(const Ptr& client);
+  void answer_failed(const Ptr& client);
   void on_closed(const Ptr& client);
 
   EventLoop& loop_;
--- a/src/sidecar/constants.h
+++ b/src/sidecar/constants.h
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxCallBytes = 8 << 20;
 // Bytes; the head of a database's response, which has far fewer fields
 constexpr std::size_t kMaxResponseHeadBytes = 65536;
+// HTTP status of a request whose processing has thrown; it may have run
+constexpr int kInternalError = 500;
 // Nesting levels of a frame, which holds lists of fields and nothing deeper
 constexpr int kMaxFrameDepth = 4;
 // ms; longest time that a peer's frame may name: no client waits an hour
