Control plane: an odd order or heartbeat gets its 4xx from any controller that can tell

Cause: `PUT /instances/ID` was read only behind the question for the lease; a patch that is invalid only on top of the stored configuration was left to the head.

Change: heartbeats are read first. A controller whose committed state holds the very version that a change names validates it on that state: what is invalid there is so for ever. The head decides itself, as before.

--- a/src/controller/control_api.cc
+++ b/src/controller/control_api.cc
@@ -98,17 +98,30 @@
     return done(reply_of(valid));
   }
   // What is acknowledged must bear the losses asked for: the first one waits until the voters are complete.
+  Json command = patch ? patch_configuration(*base, request.body) : put_configuration(*base, request.body);
+  if (Status refused = refusal_on_stored_version(*base, command); !refused.is_ok()) {
+    log_event("configuration refused: " + refused.message());
+    return done(reply_of(refused));
+  }
   const bool first = !replica_->state().find(kConfigurationKey);
   if (first && !replica_->has_all_voters() && loop_.now() < started_ + kInitialVotersWaitMs)
     return done(error_reply(503, "the core is still growing"));
-  replica_->submit(loop_.now(),
-                   patch ? patch_configuration(*base, request.body) : put_configuration(*base, request.body),
-                   [this, done, change](const Status& result) {
-                     log_event("configuration " +
-                               (result.is_ok() ? "acknowledged: " + change
-                                               : "not acknowledged: " + change + ", " + result.message()));
-                     done(reply_of(result));
-                   });
+  replica_->submit(loop_.now(), std::move(command), [this, done, change](const Status& result) {
+    log_event("configuration " + (result.is_ok() ? "acknowledged: " + change
+                                                 : "not acknowledged: " + change + ", " + result.message()));
+    done(reply_of(result));
+  });
+}
+
+// A change that is invalid on top of the version it names is so for ever. A controller that stores this
+// version can tell by itself, also while no head answers. The head decides itself, under its lease.
+Status Controller::refusal_on_stored_version(std::uint64_t base, const Json& command) {
+  if (replica_->view().head() == replica_->self() && holds_lease()) return Status::ok();
+  if (!replica_->all_committed()) return Status::ok();
+  cluster_.update_from(replica_->state());
+  if (!cluster_.has_configuration() || cluster_.configuration().revision != base) return Status::ok();
+  const auto result = replica_->validate(command);
+  return result.status.code() == StatusCode::kInvalidArgument ? result.status : Status::ok();
 }
 
 // --- databases
@@ -127,9 +140,9 @@
 }
 
 void Controller::on_put_instance(const std::string& id, const HttpRequest& request, HttpDone done) {
-  if (!holds_lease()) return done(error_reply(503, "out of the view"));
   auto read = read_instance_heartbeat(id, request.body);
   if (!read) return done(reply_of(read.status()));
+  if (!holds_lease()) return done(error_reply(503, "out of the view"));
   const Instance& instance = *read;
   const Row* row = replica_->state().find_including_deleted(instance_key(instance.id));
   const auto known = row && !row->deleted ? decode_instance(instance.id, row->value) : std::nullopt;
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -92,6 +92,7 @@
   void on_http(const HttpRequest& request, HttpDone done);
   void on_get_configuration(HttpDone done);
   void on_change_configuration(const HttpRequest& request, HttpDone done);
+  Status refusal_on_stored_version(std::uint64_t base, const Json& command);
   void on_put_instance(const std::string& id, const HttpRequest& request, HttpDone done);
   void retire(const InstanceId& id, const replication::SubmitCallback& done);
   void on_delete_instance(const std::string& id, HttpDone done);
--- a/src/replication/replica.cc
+++ b/src/replication/replica.cc
@@ -499,8 +499,6 @@
   submissions_.add_change(submission, last + 1);
 }
 
-// An exception concerns the command that raised it alone: the command is refused and changes nothing. The
-// same command would raise it at each head, so the submitter is not told to try again, unless memory ran out.
 ValidationResult Replica::validate(const Json& command) {
   const auto refuse = [&](Status status) {
     ++failed_validation_count_;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -52,6 +52,10 @@
 
   // Submits a command to the chain. done is called exactly once, possibly before submit() returns.
   void submit(Instant now, Json command, SubmitCallback done);
+  // Validates a command on this replica's state; writes nothing. An exception concerns the command that
+  // raised it alone: the command is refused. The same command would raise it at each head, so its submitter
+  // is not told to try again, unless memory ran out.
+  ValidationResult validate(const Json& command);
   // Reads the committed value of a key at the tail.
   void read(Instant now, const std::string& key, ReadCallback done);
 
@@ -147,7 +151,6 @@
   void answer_submissions();
   void process_queued_submissions();
   void validate_submission(const SubmissionQueue::Submission& submission, WriteBatch& batch);
-  ValidationResult validate(const Json& command);
 
   const ReplicaOptions options_;
   Environment& environment_;
