Process: a SIGHUP that comes while it starts is kept until it can be handled

What callers saw: a process that is asked to read its settings while it starts ends by itself (signal 1); a controller whose disk cannot be opened yet waits in that state for as long as this lasts. The soak's new series of SIGHUPs reach machines that are starting.

Cause: the default action of SIGHUP holds until the event loop has a handler.

Change: main() blocks it, EventLoop::on_signal lets it through; what has come in between is delivered then.

Guard: Soak.OddInput, EarlySignal: failed on (ended with -1), holds now. What is left: the time before main(), in which the dynamic linker runs.

--- a/src/main.cc
+++ b/src/main.cc
@@ -5,8 +5,21 @@
 
 #include "cli/command_registry.h"
 
+namespace {
+
+// By default it would end a process that has no handler for it yet; EventLoop::on_signal lets it through.
+void hold_back_hang_up() {
+  sigset_t held;
+  sigemptyset(&held);
+  sigaddset(&held, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using namespace pebblespindle;
+  hold_back_hang_up();
   // A peer that closes its connection is an error of that write, not the end of the process.
   std::signal(SIGPIPE, SIG_IGN);
   CLI::App app{
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -1,6 +1,7 @@
 #include "net/event_loop.h"
 
 #include <chrono>
+#include <csignal>
 
 #include "base/exception_barrier.h"
 
@@ -18,6 +19,10 @@
   bool first = handlers_.empty();
   handlers_[number] = std::move(callback);
   if (first) wait_signal();
+  sigset_t handled;
+  sigemptyset(&handled);
+  sigaddset(&handled, number);
+  pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
 }
 
 void EventLoop::wait_signal() {
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -14,6 +14,7 @@
   Millis now() const;
   asio::io_context& io() { return io_; }
   TimerQueue& timers() { return timers_; }
+  // From now on; also for one that came before, if it was blocked.
   void on_signal(int number, std::function<void()> callback);
   // Calls it again and again, also after it has thrown.
   void every(Millis period, std::function<void()> callback);
--- a/tests/soak/odd_input_test.py
+++ b/tests/soak/odd_input_test.py
@@ -10,7 +10,9 @@
 import json
 import os
 import signal
+import subprocess
 import sys
+import tempfile
 import time
 import unittest
 
@@ -19,6 +21,7 @@
 from soaklib.history import History  # noqa: E402
 from soaklib.http_calls import call_within  # noqa: E402
 from soaklib.machines import APP_PORT, CONTROL_PORT, FIRST_PORT, FRONT_PORT, READY_PORT, Fleet  # noqa: E402
+from soaklib.odd_input import DEEP_LIST, DEEP_OBJECT, NESTING, ODD_ORDERS  # noqa: E402
 from soaklib.plan import Sizes  # noqa: E402
 
 BINARY = os.path.abspath(sys.argv.pop(1)) if len(sys.argv) > 1 else ""
@@ -28,41 +31,9 @@
 LEASE_END_S = 3.0
 REPLY_S = 0.02
 SEED = 1
-NESTING = 300000
 POOLERS = Sizes("pooler", False, 3, 1, 1, 0)
 SIDECARS = Sizes("sidecar", True, 3, 1, 1, 0)
 
-DEEP_LIST = "[" * NESTING + "]" * NESTING
-DEEP_OBJECT = '{"a":' * NESTING + "1" + "}" * NESTING
-
-# Bodies that are no change on any configuration, with the method that they are sent by.
-ODD_ORDERS = [
-    ("PATCH", '{"Revision":3,"Remove":{"Limits":["IdleTimeoutMs"]}}'),
-    ("PATCH", '{"Revision":3,"Remove":{"Revision":["x"]}}'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Revision":[{"Name":"x"}]}}'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Limits":{"IdleTimeoutMs":"soon"}}}'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Routes":[{"Name":7}]}}'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Routes":[{"Name":"r"}]}}'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Services":[[]]}}'),
-    ("PATCH", '{"Revision":-3}'),
-    ("PATCH", '{"Revision":"3"}'),
-    ("PATCH", "{}"),
-    ("PATCH", "[]"),
-    ("PATCH", "null"),
-    ("PATCH", ""),
-    ("PATCH", '{"Revision":3'),
-    ("PATCH", '{"Revision":3,"Upsert":{"Notes":' + DEEP_LIST + "}}"),
-    ("PATCH", '{"Revision":3,"Upsert":{"Notes":[{"Name":"n","Deep":' + DEEP_LIST + "}]}}"),
-    ("PATCH", '{"Revision":3,"Upsert":' + DEEP_OBJECT + "}"),
-    ("PUT", DEEP_LIST),
-    ("PUT", DEEP_OBJECT),
-    ("PUT", '{"Revision":3,"Routes":[],"Services":[],"Notes":' + DEEP_LIST + "}"),
-    ("PUT", '{"Revision":3,"Routes":{},"Services":[]}'),
-    ("PUT", '{"Revision":3,"Routes":[],"Services":[{"Name":"s"},{"Name":"s"}]}'),
-    ("PUT", '{"Revision":1e400,"Routes":[],"Services":[]}'),
-    ("PUT", '{"Revision":99999999999999999999999,"Routes":[],"Services":[]}'),
-]
-
 ODD_HEARTBEATS = [
     DEEP_LIST, DEEP_OBJECT, "", "null", "{}", "[]",
     '{"TargetService":7,"Address":"127.0.0.1:1","Zone":"z","State":"available","CallCount":1}',
@@ -153,6 +124,29 @@
         await self.acknowledged(base, revision)
 
 
+class EarlySignal(unittest.TestCase):
+    """A SIGHUP that comes while a process is starting is kept until the process can handle it."""
+
+    def test_a_hang_up_while_the_disk_cannot_be_opened_does_not_end_a_controller(self):
+        with tempfile.TemporaryDirectory() as folder:
+            settings = {"NodeName": "n", "IpAddress": "127.0.0.1", "Zone": "z", "SeedNodes": ["127.0.0.1:1"], "Bootstrap": False,
+                        "Listeners": {"ControlPlane": "127.0.0.1:1"}, "InternalPortRange": [FIRST_PORT, FIRST_PORT + 15],
+                        "DataDirectory": os.path.join(folder, "settings.json", "no-folder")}
+            path = os.path.join(folder, "settings.json")
+            with open(path, "w", encoding="utf-8") as file:
+                json.dump(settings, file)
+            process = subprocess.Popen([BINARY, "controller"], stderr=subprocess.PIPE, text=True,
+                                       env=dict(os.environ, PEBBLESPINDLE_SETTINGS=path))
+            try:
+                self.assertIn("disk cannot be used", process.stderr.readline())
+                process.send_signal(signal.SIGHUP)
+                time.sleep(SETTLE_S)
+                self.assertIsNone(process.poll())
+            finally:
+                process.kill()
+                process.communicate()
+
+
 class OddInputAtControllers(OddInput):
     async def test_odd_orders_are_refused_by_each_controller_and_end_none(self):
         for controller in self.fleet.controllers:
