Process: an exception of one service, of one link or of the first step of an end holds nothing else up

Found by reading the guarded callers again: the failover's tick goes over all services and the feed over all links, so one that throws each time would have kept those behind it from their turn for ever; a pooler whose shutdown threw at its beginning would have had no end scheduled.

Change: a guard for each service and each link; the pooler schedules its end first.

--- a/src/controller/controller.cc
+++ b/src/controller/controller.cc
@@ -237,7 +237,7 @@
 }
 
 void Controller::on_committed() {
-  run_guarded(Boundary::kReplication, [this] { feed_all(); });
+  feed_all();
   loop_.rearm();
 }
 
@@ -456,7 +456,7 @@
 
 void Controller::feed_all() {
   for (auto& link : links_)
-    if (!link->is_controller) feed(*link);
+    if (!link->is_controller) run_guarded(Boundary::kReplication, [&] { feed(*link); });
 }
 
 // Something passing about a database, to the nodes linked here, or to those of one zone.
--- a/src/failover/failover.cc
+++ b/src/failover/failover.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/exception_barrier.h"
 #include "config/commands.h"
 #include "failover/constants.h"
 
@@ -60,10 +61,11 @@
   std::set<std::string> departed_from;
   if (cluster().departed_instances().empty()) departed_tracker_.clear();
   for (auto& [id, departed] : cluster().departed_instances()) departed_from.insert(departed.instance.service);
-  for (auto& [service, assignment] : assignments) {
-    advance(service, assignment);
-    run_maintenance(service, departed_from.count(service) > 0);
-  }
+  for (auto& [service, assignment] : assignments)
+    run_guarded(Boundary::kTimer, [&, &service = service, &assignment = assignment] {
+      advance(service, assignment);
+      run_maintenance(service, departed_from.count(service) > 0);
+    });
 }
 
 void Failover::advance(const std::string& service, const PrimaryAssignment& assignment) {
--- a/src/pooler/pooler.cc
+++ b/src/pooler/pooler.cc
@@ -287,7 +287,6 @@
     update_time();
     if (engine_.shutting_down()) return;
     log_.say("Received SIGTERM: reporting unready from now on.");
-    engine_.begin_shutdown();
     const ExitSchedule schedule = ExitSchedule::of(settings_.grace_ms);
     const Millis now = loop_.now();
     stop_accepting_at_ = now + schedule.stop_taking_after;
@@ -300,6 +299,7 @@
     schedule_exit_step(now + schedule.give_up_after, "give up", [this] { engine_.abort_sessions(); });
     schedule_exit_step(now + schedule.end_after, "end", [this] { loop_.stop(); });
     loop_.rearm();
+    engine_.begin_shutdown();
   }
 
   void schedule_exit_step(Millis at, const char* name, std::function<void()> step) {
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -125,6 +125,7 @@
         self.assert_broken(checks.check_configuration, history_of(changes=[one], readings=[Reading(5, 1)]))
         self.assert_broken(checks.check_configuration, history_of(changes=[one], readings=[Reading(5, None)]))
         self.assert_broken(checks.check_configuration, history_of(changes=[self.change(2, 1, 0)]))
+        self.assert_broken(checks.check_configuration, history_of(changes=[self.change(2, 1, 0, valid=False)]))
         self.assert_broken(checks.check_steps, history_of(unfinished_steps=["4.00 s  change"]))
 
     def test_held(self):
