--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,7 +22,7 @@
 from soaklib.checks import check_all
 from soaklib.failover_plan import FailoverPlayer, draw_failover_plan
 from soaklib.plan import SIZES, Player, draw_plan
-from soaklib.report import BROKEN, TOO_BUSY, document, print_document, print_table
+from soaklib.report import BROKEN, TOO_BUSY, describe_stalls, document, print_document, print_table
 from soaklib.world import CannotRun, World
 
 EXIT_HELD, EXIT_BROKEN, EXIT_CANNOT_RUN = 0, 1, 2
@@ -59,7 +59,10 @@
     steps = [] if arguments.calm else draw(seed, sizes, arguments.seconds)
     world = World(os.path.abspath(arguments.binary), sizes, seed, player)
     try:
-        await asyncio.wait_for(world.play(steps, arguments.seconds), LONGEST_RUN_S)
+        try:
+            await asyncio.wait_for(world.play(steps, arguments.seconds), LONGEST_RUN_S)
+        except CannotRun as error:
+            raise CannotRun(f"{error}; stalls measured: {describe_stalls(world.history.stalls)}") from error
         return document(seed, sizes, steps, world.history, check_all(world.history))
     finally:
         world.fleet.end()
--- a/tools/soaklib/history.py
+++ b/tools/soaklib/history.py
@@ -131,10 +131,12 @@
 @dataclass
 class Stall:
     """A span in which this machine stood still, as a process of its own has measured it."""
-    kind: str  # timer, write
+    kind: str  # timer, write, sync
     since: float
     until: float
-    waited_ms: float | None = None  # of a late timer: ready to run without running
+    processor: int | None = None  # of a late timer, as what follows
+    waited_ms: float | None = None  # ready to run without running
+    stolen_ms: float | None = None  # the host had taken the processor
 
 
 @dataclass
--- a/tools/soaklib/report.py
+++ b/tools/soaklib/report.py
@@ -32,7 +32,7 @@
         outcomes[request.outcome] = outcomes.get(request.outcome, 0) + 1
     return {"seed": seed, "size": sizes.name, "plan": [step.text() for step in steps], "outcomes": outcomes,
             "latency_ms": latencies(history), "busy_spans": len(history.busy_spans),
-            "stalls": [asdict(stall) for stall in history.stalls],
+            "stalls": describe_stalls(history.stalls), "each_stall": [asdict(stall) for stall in history.stalls],
             "verdict": verdict_of(history, results),
             "rules": [{"rule": result.rule, "looked_at": result.looked_at, "excused": dict(result.excused),
                        "broken": result.broken} for result in results]}
@@ -48,7 +48,7 @@
 def print_document(report, most_traces=3):
     print(f"seed {report['seed']}, {report['size']}: {report['verdict']}; "
           f"requests {report['outcomes']}; latency ms {report['latency_ms']}; "
-          f"spans in which this machine was late: {report['busy_spans']}; stalls measured: {text_of(report['stalls'])}")
+          f"spans in which this machine was late: {report['busy_spans']}; stalls measured: {report['stalls']}")
     for rule in report["rules"]:
         if not rule["broken"] and not rule["excused"]:
             continue
@@ -57,17 +57,17 @@
         for trace in rule["broken"][:most_traces]:
             print(f"    {trace}")
     if report["verdict"] != HELD:
-        print(f"  stalls: {report['stalls']}")
+        print(f"  stalls: {report['each_stall']}")
         print("  plan:")
         for step in report["plan"]:
             print(f"    {step}")
 
 
-def text_of(stalls):
+def describe_stalls(stalls):
     """Number and longest of each kind, in ms."""
     lengths = {}
     for stall in stalls:
-        lengths.setdefault(stall["kind"], []).append(round(stall["until"] - stall["since"]))
+        lengths.setdefault(stall.kind, []).append(round(stall.until - stall.since))
     return ", ".join(f"{kind} {len(of_kind)} (longest {max(of_kind)} ms)" for kind, of_kind in lengths.items()) or "none"
 
 
--- a/tools/soaklib/stall_watch.py
+++ b/tools/soaklib/stall_watch.py
@@ -1,19 +1,27 @@
 #!/usr/bin/env python3
-"""Measures, in a process of its own, when this machine stands still: a timer that fires late, a write that lasts.
+"""Measures, in processes of its own, when this machine stands still: a timer that fires late, a write or a sync of a
+file that lasts. Each processor has a process that runs on it alone, since one of them may stand still by itself: what
+runs on the others is on time then, but a process that ends has to wait for all.
 
     stall_watch.py FOLDER BEGAN     BEGAN: seconds of the monotonic clock that count as zero
 
-Writes one JSON object a stall to standard output until it is ended. A late timer comes with the time that its thread
-was ready but not run: nearly all of it where processors are short, nearly none where the machine itself stood still.
+Writes one JSON object a stall to standard output until it is ended. A late timer comes with its processor, with the time
+that its thread was ready but not run (nearly all of it where processors are short, nearly none where the machine itself
+stood still), and with the time that the host took from this processor.
 """
+import ctypes
 import json
 import os
+import signal
 import sys
 import threading
 import time
 
-TIMER_S = 0.01
+TIMER_S = 0.02
+STEAL_FIELD = 8  # of a processor's line in /proc/stat
+SET_DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of prctl(2)
 WRITE_PAUSE_S = 0.02
+SYNC_PAUSE_S = 0.1
 STALL_S = 0.1
 LINE = b"stall watch" * 8 + b"\n"
 
@@ -24,39 +32,70 @@
         return int(file.read().split()[1]) / 1e6
 
 
-def report(kind, since, until, began, waited_ms=None):
+def stolen_ms(processor):
+    """Milliseconds that the host has taken from a processor."""
+    with open("/proc/stat", encoding="ascii") as file:
+        for line in file:
+            if line.startswith(f"cpu{processor} "):
+                return int(line.split()[STEAL_FIELD]) * 1000 / os.sysconf("SC_CLK_TCK")
+    return 0.0
+
+
+def report(kind, since, until, began, **details):
     stall = {"kind": kind, "since": round((since - began) * 1000, 1), "until": round((until - began) * 1000, 1)}
-    if waited_ms is not None:
-        stall["waited_ms"] = round(waited_ms, 1)
-    sys.stdout.write(json.dumps(stall) + "\n")
-    sys.stdout.flush()
+    os.write(sys.stdout.fileno(), (json.dumps(stall | details) + "\n").encode())
 
 
-def watch_timer(began):
+def watch_timer(processor, began):
+    os.sched_setaffinity(0, {processor})
     while True:
-        waited, before = ready_ms(), time.monotonic()
+        waited, stolen, before = ready_ms(), stolen_ms(processor), time.monotonic()
         time.sleep(TIMER_S)
         now = time.monotonic()
         if now - before > TIMER_S + STALL_S:
-            report("timer", before, now, began, ready_ms() - waited)
+            report("timer", before, now, began, processor=processor, waited_ms=round(ready_ms() - waited, 1),
+                   stolen_ms=stolen_ms(processor) - stolen)
 
 
-def watch_writes(folder, began):
-    """Writes as the system's processes write their logs."""
-    with open(os.path.join(folder, "stall-watch.written"), "ab", buffering=0) as file:
+def watch_file(kind, folder, began, pause_s, use):
+    with open(os.path.join(folder, f"stall-watch.{kind}"), "ab", buffering=0) as file:
         while True:
             before = time.monotonic()
-            file.write(LINE)
+            use(file)
             now = time.monotonic()
             if now - before > STALL_S:
-                report("write", before, now, began)
-            time.sleep(WRITE_PAUSE_S)
+                report(kind, before, now, began)
+            time.sleep(pause_s)
+
+
+def write_line(file):
+    """As the system's processes write their logs."""
+    file.write(LINE)
+
+
+def write_and_sync(file):
+    """As controllers write their state."""
+    file.write(LINE)
+    os.fsync(file.fileno())
+
+
+def die_with(parent):
+    """Ends this process when its parent ends, however that comes."""
+    ctypes.CDLL(None).prctl(SET_DEATH_SIGNAL, signal.SIGKILL)
+    if os.getppid() != parent:
+        sys.exit(0)
 
 
 def main():
     folder, began = sys.argv[1], float(sys.argv[2])
-    threading.Thread(target=watch_writes, args=(folder, began), daemon=True).start()
-    watch_timer(began)
+    parent = os.getpid()
+    for processor in sorted(os.sched_getaffinity(0)):
+        if os.fork() == 0:
+            die_with(parent)
+            watch_timer(processor, began)
+    for kind, pause_s, use in (("write", WRITE_PAUSE_S, write_line), ("sync", SYNC_PAUSE_S, write_and_sync)):
+        threading.Thread(target=watch_file, args=(kind, folder, began, pause_s, use), daemon=True).start()
+    signal.pause()
 
 
 if __name__ == "__main__":
