Soak: a run always ends; a cancellation that comes together with a result is no longer lost

Cause: asyncio.wait_for() of Python 3.11 returns the result and takes no notice of a cancellation that comes in the same turn. A stand-in that asks again and again (probe, heartbeat, client) then goes on for ever, and the end of the loop waits for it.

Change: asyncio.timeout() everywhere.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -60,7 +60,8 @@
     world = World(os.path.abspath(arguments.binary), sizes, seed, player)
     try:
         try:
-            await asyncio.wait_for(world.play(steps, arguments.seconds), LONGEST_RUN_S)
+            async with asyncio.timeout(LONGEST_RUN_S):
+                await world.play(steps, arguments.seconds)
         except CannotRun as error:
             raise CannotRun(f"{error}; stalls measured: {describe_stalls(world.history.stalls)}") from error
         return document(seed, sizes, steps, world.history, check_all(world.history))
--- a/tools/soaklib/http_calls.py
+++ b/tools/soaklib/http_calls.py
@@ -1,4 +1,8 @@
-"""HTTP calls over one connection each, as the operator, the databases and the platform make them."""
+"""HTTP calls over one connection each, as the operator, the databases and the platform make them.
+
+Times are bounded by asyncio.timeout() everywhere: wait_for() of Python 3.11 takes no notice of a cancellation that comes
+together with the result, and a task that goes on for ever then holds up the end of the run.
+"""
 import asyncio
 
 
@@ -21,7 +25,8 @@
     """The same within a time; status 0 after it, and where the connection failed."""
     host, port = address
     try:
-        return await asyncio.wait_for(call(host, port, method, path, body, headers), seconds)
+        async with asyncio.timeout(seconds):
+            return await call(host, port, method, path, body, headers)
     except (OSError, ValueError, IndexError, asyncio.TimeoutError):
         return 0, ""
 
--- a/tools/soaklib/wire.py
+++ b/tools/soaklib/wire.py
@@ -34,7 +34,8 @@
     @classmethod
     async def connect(cls, clock, host, port, seconds=1.0):
         loop = asyncio.get_running_loop()
-        _, wire = await asyncio.wait_for(loop.create_connection(lambda: cls(clock), host, port), seconds)
+        async with asyncio.timeout(seconds):
+            _, wire = await loop.create_connection(lambda: cls(clock), host, port)
         return wire
 
     def connection_made(self, transport):
@@ -81,7 +82,8 @@
         """Until something has come, the connection has ended, or the time is over."""
         self.waiter = asyncio.get_running_loop().create_future()
         try:
-            await asyncio.wait_for(self.waiter, seconds)
+            async with asyncio.timeout(seconds):
+                await self.waiter
         except asyncio.TimeoutError:
             pass
         self.waiter = None
