--- a/src/controller/control_api.cc
+++ b/src/controller/control_api.cc
@@ -97,12 +97,12 @@
     log_event("configuration refused: " + valid.message());
     return done(reply_of(valid));
   }
-  // What is acknowledged must bear the losses asked for: the first one waits until the voters are complete.
   Json command = patch ? patch_configuration(*base, request.body) : put_configuration(*base, request.body);
   if (Status refused = refusal_on_stored_version(*base, command); !refused.is_ok()) {
     log_event("configuration refused: " + refused.message());
     return done(reply_of(refused));
   }
+  // What is acknowledged must bear the losses asked for: the first one waits until the voters are complete.
   const bool first = !replica_->state().find(kConfigurationKey);
   if (first && !replica_->has_all_voters() && loop_.now() < started_ + kInitialVotersWaitMs)
     return done(error_reply(503, "the core is still growing"));
